The whole path, thin: entry hosts, permits, peers and stand-ins

An entry host authenticates a caller, keeps the request waiting by tier and deadline, asks the target's manager for a permit, sends the request once, and returns the whole answer or a typed refusal. The demo runs two hosts before stand-ins.

--- /dev/null
+++ b/cmd/yuccadoor/main.go
@@ -0,0 +1,12 @@
+// Command yuccadoor schedules requests before unlike engines.
+package main
+
+import (
+	"os"
+
+	"yuccadoor/io/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/core/burn/burn.go
@@ -0,0 +1,149 @@
+// Package burn counts requests against their service-level objectives and
+// works out how fast each service burns its error budget.
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Windows are the spans over which burn rates are worked out, shortest first.
+var Windows = []time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour}
+
+// slot is the resolution of the counts; slots of them are kept.
+const (
+	slot  = 30 * time.Second
+	slots = int(6 * time.Hour / slot)
+)
+
+// Key says whose requests are counted together.
+type Key struct {
+	Service string
+	Tier    string
+	Zone    string // of the target; empty when none was reached
+}
+
+// Event is one request's end. Cause is empty when the objective was met.
+type Event struct {
+	Key
+	Cause string
+}
+
+// Outcome is Met, or the cause of the miss.
+func (e Event) Outcome() string { return cmp.Or(e.Cause, "Met") }
+
+// Count is the number of requests with one end in one window.
+type Count struct {
+	Window time.Duration
+	Event
+	Number int
+}
+
+type bucket struct {
+	start  int64 // slot number since 1970
+	events map[Event]int
+}
+
+// Log holds counts for the longest window. It is not safe for concurrent use.
+type Log struct {
+	buckets []bucket // oldest first
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log { return &Log{} }
+
+// Add counts one event.
+func (l *Log) Add(now time.Time, e Event) {
+	at := now.UnixNano() / int64(slot)
+	last := len(l.buckets) - 1
+	if last < 0 || l.buckets[last].start != at {
+		l.buckets = append(l.buckets, bucket{start: at, events: map[Event]int{}})
+		last++
+	}
+	l.buckets[last].events[e]++
+	for len(l.buckets) > 0 && l.buckets[0].start <= at-int64(slots) {
+		l.buckets = l.buckets[1:]
+	}
+}
+
+// Counts adds the events up by window, in a fixed order.
+func (l *Log) Counts(now time.Time) []Count {
+	at := now.UnixNano() / int64(slot)
+	var counts []Count
+	for _, w := range Windows {
+		sums := map[Event]int{}
+		for _, b := range l.buckets {
+			if b.start > at-int64(w/slot) {
+				for e, n := range b.events {
+					sums[e] += n
+				}
+			}
+		}
+		for e, n := range sums {
+			counts = append(counts, Count{Window: w, Event: e, Number: n})
+		}
+	}
+	slices.SortFunc(counts, compare)
+	return counts
+}
+
+func compare(a, b Count) int {
+	return cmp.Or(
+		cmp.Compare(a.Window, b.Window), cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Cause, b.Cause),
+	)
+}
+
+// Row is one line of the report.
+type Row struct {
+	Window time.Duration
+	Key
+	Total  int
+	Missed int
+	Rate   float64        // of burning: 1 spends the budget exactly over its period
+	Left   float64        // part of this window's error budget that is left; below 0 when overspent
+	Causes map[string]int // of the misses
+}
+
+// Report works out the rows from counts, which may come from many hosts.
+// objective gives the share of a service's requests that must meet theirs.
+func Report(counts []Count, objective func(service string) float64) []Row {
+	type rowKey struct {
+		window time.Duration
+		Key
+	}
+	rows := map[rowKey]*Row{}
+	for _, c := range counts {
+		k := rowKey{c.Window, c.Key}
+		r := rows[k]
+		if r == nil {
+			r = &Row{Window: c.Window, Key: c.Key, Causes: map[string]int{}}
+			rows[k] = r
+		}
+		r.Total += c.Number
+		if c.Cause != "" {
+			r.Missed += c.Number
+			r.Causes[c.Cause] += c.Number
+		}
+	}
+	report := make([]Row, 0, len(rows))
+	for _, r := range rows {
+		r.rate(objective(r.Service))
+		report = append(report, *r)
+	}
+	slices.SortFunc(report, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Window, b.Window), cmp.Compare(b.Rate, a.Rate),
+			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Zone, b.Zone))
+	})
+	return report
+}
+
+func (r *Row) rate(share float64) {
+	budget := (1 - share) * float64(r.Total)
+	if budget <= 0 {
+		return
+	}
+	r.Rate = float64(r.Missed) / budget
+	r.Left = 1 - r.Rate
+}
--- /dev/null
+++ b/core/conf/conf.go
@@ -0,0 +1,161 @@
+// Package conf reads the operators' text: services, their dependencies,
+// tiers, workspaces and availability zones. A text is accepted whole or
+// rejected with every finding; an accepted one is an immutable Catalog.
+package conf
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"yuccadoor/core/model"
+)
+
+// MaxTextBytes bounds the operators' text: the platform's service holds values
+// up to one megabyte.
+const MaxTextBytes = 1 << 20
+
+// Kind is what stands behind a service.
+type Kind string
+
+// The kinds of service.
+const (
+	ModelEngine Kind = "ModelEngine"
+	Plain       Kind = "Plain"
+)
+
+// ZoneState says whether an availability zone takes new work.
+type ZoneState string
+
+// The states of an availability zone.
+const (
+	In  ZoneState = "In"
+	Out ZoneState = "Out"
+)
+
+// Text is the operators' text as written.
+type Text struct {
+	Tiers      []TierText
+	Zones      []ZoneText
+	Services   []ServiceText
+	Workspaces []WorkspaceText
+}
+
+// TierText names one tier; the order of the list is the order of urgency.
+type TierText struct {
+	Name string
+}
+
+// ZoneText is one availability zone.
+type ZoneText struct {
+	Name  string
+	State ZoneState // default In
+}
+
+// ServiceText is one service and what it needs.
+type ServiceText struct {
+	Name          string
+	Kind          Kind
+	DependsOn     []string
+	Models        []string
+	NonIdempotent []string      // "METHOD /path" of calls that run at most once
+	ChecksFencing bool          // whether its targets refuse an old fencing number
+	Cold          CapacityText  // what a target that has just started bears
+	Warm          CapacityText  // what a warmed target bears
+	Deadline      time.Duration // default patience of a request
+	Silence       time.Duration // longest wait for progress on a running answer
+	Objective     ObjectiveText
+}
+
+// CapacityText is the number of requests that a target bears at once.
+type CapacityText struct {
+	Slots int
+}
+
+// ObjectiveText is a service-level objective.
+type ObjectiveText struct {
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
+	Whole         time.Duration
+	Share         float64 // of requests, between 0 and 1
+}
+
+// WorkspaceText is one customer of the callers' side.
+type WorkspaceText struct {
+	Name      string
+	KeyDigest string   // SHA-256 of its key, in hex
+	Tiers     []string // tiers that it may ask for; the last is its default
+	Share     int      // weight against other workspaces
+}
+
+// Service is one service of an accepted text.
+type Service struct {
+	ServiceText
+}
+
+// Workspace is one workspace of an accepted text.
+type Workspace struct {
+	Name    string
+	Tiers   []model.Tier
+	Default model.Tier
+	Share   int
+}
+
+// Catalog is an accepted text. It is never changed after Parse returns it.
+type Catalog struct {
+	Revision   model.Revision
+	Tiers      []string
+	Services   map[string]*Service
+	Workspaces map[string]*Workspace // by name
+	ByDigest   map[string]*Workspace // by key digest, lower-case hex
+	zonesOut   map[string]bool
+}
+
+// ZoneOut reports whether operators have taken the availability zone out.
+func (c *Catalog) ZoneOut(zone string) bool { return c.zonesOut[zone] }
+
+// ZonesOut lists the availability zones that operators have taken out.
+func (c *Catalog) ZonesOut() []string {
+	return slices.Sorted(maps.Keys(c.zonesOut))
+}
+
+// TierNamed returns the tier of that name.
+func (c *Catalog) TierNamed(name string) (model.Tier, bool) {
+	for i, n := range c.Tiers {
+		if n == name {
+			return model.Tier(i), true
+		}
+	}
+	return 0, false
+}
+
+// TierName gives the name of a tier.
+func (c *Catalog) TierName(t model.Tier) string {
+	if int(t) >= len(c.Tiers) {
+		return ""
+	}
+	return c.Tiers[t]
+}
+
+// ServiceForModel returns the service whose targets serve the named model.
+func (c *Catalog) ServiceForModel(name string) (*Service, bool) {
+	for _, s := range c.Services {
+		for _, m := range s.Models {
+			if m == name {
+				return s, true
+			}
+		}
+	}
+	return nil, false
+}
+
+// OnceOnly reports whether a call may run at most once.
+func (s *Service) OnceOnly(method, path string) bool {
+	call := method + " " + path
+	for _, n := range s.NonIdempotent {
+		if n == call {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/kernel/kernel.go
@@ -0,0 +1,83 @@
+// Package kernel is the micro-kernel: it starts named services in order, lets
+// them find each other by name, and cleans up in reverse order.
+package kernel
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Cleanup releases what a service holds. It is called once, after every
+// service started later has been cleaned up.
+type Cleanup func()
+
+// Start builds a service. It may look up services started before it.
+type Start func(ctx context.Context, k *Kernel) (service any, cleanup Cleanup, err error)
+
+type running struct {
+	name    string
+	service any
+	cleanup Cleanup
+}
+
+// Kernel holds the running services. Its zero value is ready to use.
+type Kernel struct {
+	mu       sync.RWMutex
+	services []running // guarded by mu; in start order
+}
+
+// Run starts a service and registers it under name. A service that fails to
+// start is not registered.
+func (k *Kernel) Run(ctx context.Context, name string, start Start) error {
+	if _, found := k.find(name); found {
+		return errors.Errorf("start service %q: name already taken", name)
+	}
+	service, cleanup, err := start(ctx, k)
+	if err != nil {
+		return errors.Wrapf(err, "start service %q", name)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.services = append(k.services, running{name: name, service: service, cleanup: cleanup})
+	return nil
+}
+
+// Close cleans up every service, last started first.
+func (k *Kernel) Close() {
+	k.mu.Lock()
+	services := k.services
+	k.services = nil
+	k.mu.Unlock()
+	for i := len(services) - 1; i >= 0; i-- {
+		if services[i].cleanup != nil {
+			services[i].cleanup()
+		}
+	}
+}
+
+func (k *Kernel) find(name string) (any, bool) {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	for _, s := range k.services {
+		if s.name == name {
+			return s.service, true
+		}
+	}
+	return nil, false
+}
+
+// Lookup returns the service registered under name, as a T.
+func Lookup[T any](k *Kernel, name string) (T, error) {
+	var none T
+	found, ok := k.find(name)
+	if !ok {
+		return none, errors.Errorf("look up service %q: not running", name)
+	}
+	service, ok := found.(T)
+	if !ok {
+		return none, errors.Errorf("look up service %q: it is a %T", name, found)
+	}
+	return service, nil
+}
--- /dev/null
+++ b/core/permit/holder.go
@@ -0,0 +1,366 @@
+package permit
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"yuccadoor/core/limit"
+	"yuccadoor/core/model"
+	"yuccadoor/core/view"
+)
+
+// Times of the holder's side.
+const (
+	permitLife    = time.Second            // from the holder's message that a grant echoes
+	refreshPeriod = 250 * time.Millisecond // between messages while asks are out
+)
+
+// EventKind is what happened to an ask.
+type EventKind string
+
+// The things that happen to an ask.
+const (
+	Granted EventKind = "Granted"
+	Queued  EventKind = "Queued"
+	Denied  EventKind = "Denied"
+)
+
+// Event tells the holder's scheduler what became of an ask.
+type Event struct {
+	Kind    EventKind
+	Ticket  Ticket
+	Target  netip.AddrPort
+	Status  Status
+	Expires time.Time      // of a grant: nothing may be sent later
+	Fence   model.Revision // of a grant
+}
+
+// askKey names an ask or a permit of this holder.
+type askKey struct {
+	ticket Ticket
+	target netip.AddrPort
+}
+
+type held struct {
+	manager   netip.AddrPort
+	workspace string
+}
+
+// link is the state of the protocol with one manager.
+type link struct {
+	incarnation model.Incarnation // of the manager
+	heard       uint64            // Seq of its last message
+	seq         uint64            // of the last message to it
+	sentAt      time.Time
+	full        bool // the next message is a full statement
+	out         FromHolder
+	pending     bool
+	asks        int
+}
+
+// fence is the newest claim to manage a target that this holder has answered.
+type fence struct {
+	revision model.Revision
+	manager  netip.AddrPort
+}
+
+// Holder asks managers for permits on behalf of one host. One goroutine owns
+// it.
+type Holder struct {
+	incarnation model.Incarnation
+	epoch       time.Time // zero of this holder's monotonic clock
+	view        *view.View
+	links       map[netip.AddrPort]*link
+	asks        map[askKey]asked
+	permits     map[askKey]held
+	fences      map[netip.AddrPort]fence
+}
+
+type asked struct {
+	manager  netip.AddrPort
+	ask      Ask
+	deadline time.Time
+}
+
+// NewHolder returns a holder without permits. epoch carries the monotonic
+// reading against which messages are stamped.
+func NewHolder(incarnation model.Incarnation, epoch time.Time) *Holder {
+	return &Holder{
+		incarnation: incarnation,
+		epoch:       epoch,
+		links:       map[netip.AddrPort]*link{},
+		asks:        map[askKey]asked{},
+		permits:     map[askKey]held{},
+		fences:      map[netip.AddrPort]fence{},
+	}
+}
+
+// Adopt takes a new snapshot. Permits and asks move to a target's new manager.
+// It returns the asks that no manager can be given.
+func (h *Holder) Adopt(v *view.View) []Event {
+	h.view = v
+	for a, f := range h.fences {
+		if !v.Alive(f.manager) || f.revision < v.List.Revision {
+			delete(h.fences, a)
+		}
+	}
+	for k, p := range h.permits {
+		if m, ok := h.manager(k.target); ok && m != p.manager {
+			h.permits[k] = held{manager: m, workspace: p.workspace}
+			h.state(k, m, p.workspace)
+		}
+	}
+	return h.moveAsks()
+}
+
+// moveAsks denies the asks whose manager has changed, so that the scheduler
+// asks anew.
+func (h *Holder) moveAsks() []Event {
+	var events []Event
+	for k, a := range h.asks {
+		if m, ok := h.manager(k.target); !ok || m != a.manager {
+			h.forget(k)
+			events = append(events, Event{Kind: Denied, Ticket: k.ticket, Target: k.target, Status: NotManager})
+		}
+	}
+	slices.SortFunc(events, func(a, b Event) int { return int(int64(a.Ticket) - int64(b.Ticket)) })
+	return events
+}
+
+// manager is whom this holder takes permits for a target from: the host whose
+// claim it has answered, or else the one that its own view names.
+func (h *Holder) manager(target netip.AddrPort) (netip.AddrPort, bool) {
+	if f, ok := h.fences[target]; ok {
+		return f.manager, true
+	}
+	return h.view.ManagerOf(target)
+}
+
+// state tells a manager of a permit that another one granted.
+func (h *Holder) state(k askKey, manager netip.AddrPort, workspace string) {
+	l := h.link(manager)
+	l.pending = true
+	l.out.Holdings = append(l.out.Holdings, Holding{Ticket: k.ticket, Target: k.target, Workspace: workspace})
+}
+
+func (h *Holder) link(manager netip.AddrPort) *link {
+	l := h.links[manager]
+	if l == nil {
+		l = &link{full: true}
+		h.links[manager] = l
+	}
+	return l
+}
+
+// Ask asks a target's manager for a permit; false when there is none to ask.
+func (h *Holder) Ask(now time.Time, ticket Ticket, r *model.Request, target netip.AddrPort) bool {
+	m, ok := h.manager(target)
+	if !ok {
+		return false
+	}
+	k := askKey{ticket, target}
+	if _, again := h.asks[k]; again {
+		return true
+	}
+	a := asked{manager: m, deadline: r.Deadline, ask: Ask{
+		Ticket: ticket, Target: target, Workspace: r.Workspace, Tier: r.Tier,
+		Patience: r.Deadline.Sub(now),
+	}}
+	h.asks[k] = a
+	l := h.link(m)
+	l.asks++
+	l.pending = true
+	if !l.full {
+		l.out.Asks = append(l.out.Asks, a.ask)
+	}
+	return true
+}
+
+// Withdraw takes an ask back.
+func (h *Holder) Withdraw(ticket Ticket, target netip.AddrPort) {
+	k := askKey{ticket, target}
+	a, ok := h.asks[k]
+	if !ok {
+		return
+	}
+	h.forget(k)
+	l := h.link(a.manager)
+	l.pending = true
+	l.out.Asks = slices.DeleteFunc(l.out.Asks, func(x Ask) bool { return x.Ticket == ticket && x.Target == target })
+	l.out.Withdrawals = append(l.out.Withdrawals, Withdrawal{Ticket: ticket, Target: target})
+}
+
+func (h *Holder) forget(k askKey) {
+	a, ok := h.asks[k]
+	if !ok {
+		return
+	}
+	delete(h.asks, k)
+	h.link(a.manager).asks--
+}
+
+// Release gives a permit back.
+func (h *Holder) Release(ticket Ticket, target netip.AddrPort, r limit.Result) {
+	k := askKey{ticket, target}
+	p, ok := h.permits[k]
+	if !ok {
+		return
+	}
+	delete(h.permits, k)
+	h.giveBack(p.manager, k, r)
+}
+
+func (h *Holder) giveBack(manager netip.AddrPort, k askKey, r limit.Result) {
+	l := h.link(manager)
+	l.pending = true
+	l.out.Releases = append(l.out.Releases, Release{Ticket: k.ticket, Target: k.target, Result: r})
+}
+
+// Receive handles a manager's message. known is what this host can tell a new
+// manager of the targets that it asks about.
+func (h *Holder) Receive(manager netip.AddrPort, in FromManager, known func([]netip.AddrPort) []Known) []Event {
+	l := h.link(manager)
+	if in.Incarnation != l.incarnation {
+		l.incarnation, l.heard, l.full, l.pending = in.Incarnation, 0, true, true
+	}
+	if in.Seq <= l.heard {
+		return nil
+	}
+	if in.Seq != l.heard+1 || in.Resync {
+		l.full, l.pending = true, true
+	}
+	l.heard = in.Seq
+	if in.Query > 0 {
+		h.answer(manager, l, in, known)
+	}
+	var events []Event
+	for _, g := range in.Grants {
+		events = h.granted(events, manager, in, g)
+	}
+	for _, n := range in.Notices {
+		events = h.noticed(events, manager, n)
+	}
+	return events
+}
+
+// answer replies to a take-over query, and from then on takes permits for the
+// targets from that manager only, unless its own list is newer.
+func (h *Holder) answer(manager netip.AddrPort, l *link, in FromManager, known func([]netip.AddrPort) []Known) {
+	l.pending = true
+	l.out.Answer = max(l.out.Answer, in.Query)
+	l.out.Known = append(l.out.Known, known(in.Taken)...)
+	for _, t := range in.Taken {
+		if in.Fence >= h.view.List.Revision && in.Fence >= h.fences[t].revision {
+			h.fences[t] = fence{revision: in.Fence, manager: manager}
+		}
+		for k, p := range h.permits {
+			if k.target == t {
+				h.state(k, manager, p.workspace)
+				h.permits[k] = held{manager: manager, workspace: p.workspace}
+			}
+		}
+	}
+}
+
+func (h *Holder) granted(events []Event, manager netip.AddrPort, in FromManager, g Grant) []Event {
+	k := askKey{g.Ticket, g.Target}
+	a, wanted := h.asks[k]
+	h.forget(k)
+	current, _ := h.manager(g.Target)
+	if !wanted || a.manager != manager || current != manager {
+		h.giveBack(manager, k, limit.Result{Kind: limit.Unused})
+		return events
+	}
+	h.permits[k] = held{manager: manager, workspace: a.ask.Workspace}
+	return append(events, Event{
+		Kind: Granted, Ticket: g.Ticket, Target: g.Target, Fence: in.Fence,
+		Expires: h.epoch.Add(in.Echo + permitLife),
+	})
+}
+
+func (h *Holder) noticed(events []Event, manager netip.AddrPort, n Notice) []Event {
+	k := askKey{n.Ticket, n.Target}
+	if a, ok := h.asks[k]; !ok || a.manager != manager {
+		return events
+	}
+	kind := Queued
+	if n.Status != Waiting {
+		kind = Denied
+		h.forget(k)
+	}
+	if n.Status == NotManager && h.fences[n.Target].manager == manager {
+		delete(h.fences, n.Target)
+	}
+	return append(events, Event{Kind: kind, Ticket: n.Ticket, Target: n.Target, Status: n.Status})
+}
+
+// Lost tells the holder that messages to a manager may not have arrived.
+func (h *Holder) Lost(manager netip.AddrPort) {
+	l := h.links[manager]
+	if l == nil {
+		return
+	}
+	l.full = true
+	l.pending = l.pending || l.asks > 0 || h.holdsFrom(manager)
+}
+
+func (h *Holder) holdsFrom(manager netip.AddrPort) bool {
+	for _, p := range h.permits {
+		if p.manager == manager {
+			return true
+		}
+	}
+	return false
+}
+
+// Flush returns the messages that have gathered, one a manager. While asks are
+// out it also renews the stamp that keeps their grants fresh.
+func (h *Holder) Flush(now time.Time) []ToManager {
+	var out []ToManager
+	for a, l := range h.links {
+		if !l.pending && (l.asks == 0 || now.Sub(l.sentAt) < refreshPeriod) {
+			continue
+		}
+		out = append(out, ToManager{Manager: a, Message: h.message(now, a, l)})
+	}
+	slices.SortFunc(out, func(a, b ToManager) int { return a.Manager.Compare(b.Manager) })
+	return out
+}
+
+func (h *Holder) message(now time.Time, manager netip.AddrPort, l *link) FromHolder {
+	msg := l.out
+	l.seq++
+	l.sentAt = now
+	l.out, l.pending = FromHolder{}, false
+	msg.Incarnation, msg.Seq, msg.Sent = h.incarnation, l.seq, now.Sub(h.epoch)
+	if l.full {
+		l.full = false
+		h.fill(now, manager, &msg)
+	}
+	msg.Seen, msg.SeenOf = l.heard, l.incarnation
+	return msg
+}
+
+// fill makes a message a full statement.
+func (h *Holder) fill(now time.Time, manager netip.AddrPort, msg *FromHolder) {
+	msg.Full = true
+	msg.Asks, msg.Withdrawals, msg.Holdings = nil, nil, nil
+	for k, p := range h.permits {
+		if p.manager == manager {
+			msg.Holdings = append(msg.Holdings, Holding{Ticket: k.ticket, Target: k.target, Workspace: p.workspace})
+		}
+	}
+	for _, a := range h.asks {
+		if a.manager == manager {
+			fresh := a.ask
+			fresh.Patience = a.deadline.Sub(now)
+			msg.Asks = append(msg.Asks, fresh)
+		}
+	}
+	slices.SortFunc(msg.Holdings, func(a, b Holding) int { return int(int64(a.Ticket) - int64(b.Ticket)) })
+	slices.SortFunc(msg.Asks, func(a, b Ask) int { return int(int64(a.Ticket) - int64(b.Ticket)) })
+}
+
+// Permits is the number of permits in hand.
+func (h *Holder) Permits() int { return len(h.permits) }
--- /dev/null
+++ b/io/admin/admin.go
@@ -0,0 +1,58 @@
+// Package admin serves operators on a listener of its own: health, readiness,
+// status, metrics and the counts of the burn report.
+package admin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"yuccadoor/core/burn"
+	"yuccadoor/io/loop"
+)
+
+// headTimeout bounds the reading of a request's head.
+const headTimeout = 5 * time.Second
+
+// Source is what the operators' listener shows.
+type Source interface {
+	Status() loop.Status
+}
+
+// Counts are the metrics and the burn counts.
+type Counts interface {
+	Write(w io.Writer)
+	Burn() []burn.Count
+}
+
+// BurnReply is the answer to GET /burn.
+type BurnReply struct {
+	Objectives map[string]float64 // share of requests, by service
+	Counts     []burn.Count
+}
+
+// Server returns the operators' HTTP server. objectives gives the shares of
+// the configuration in force.
+func Server(s Source, c Counts, objectives func() map[string]float64) *http.Server {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !s.Status().Ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	r.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Status()) })
+	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { c.Write(w) })
+	r.HandleFunc("/burn", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, BurnReply{Objectives: objectives(), Counts: c.Burn()})
+	})
+	return &http.Server{Handler: r, ReadHeaderTimeout: headTimeout}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/io/cmds/cmds.go
@@ -0,0 +1,102 @@
+// Package cmds is the command line: it parses and checks, and calls the
+// packages that do the work.
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"yuccadoor/core/conf"
+	"yuccadoor/io/entry"
+)
+
+// commands are all commands with their flags.
+type commands struct {
+	Serve    serveCommand    `cmd:"" help:"Run an entry host."`
+	Check    checkCommand    `cmd:"" help:"Check an operators' text and report every finding."`
+	Status   statusCommand   `cmd:"" help:"Show what running hosts see."`
+	Burn     burnCommand     `cmd:"" help:"Report how fast services burn their error budgets."`
+	Load     loadCommand     `cmd:"" help:"Send a seeded open-loop load and report the outcomes."`
+	Fake     fakeCommand     `cmd:"" help:"Run a stand-in for the platform or a target."`
+	Demo     demoCommand     `cmd:"" help:"Run two hosts and all stand-ins on loopback under a short load."`
+	Settings settingsCommand `cmd:"" help:"Print the page of an entry host's settings."`
+}
+
+// env is what commands run in.
+type env struct {
+	ctx context.Context
+	out io.Writer
+	err io.Writer
+}
+
+// Main parses the arguments, runs the command and returns the exit status.
+func Main(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var c commands
+	parser, err := kong.New(&c, kong.Name("yuccadoor"), kong.Writers(out, errOut),
+		kong.Description("A request scheduler for unlike engines."))
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return 1
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return 2
+	}
+	if err := parsed.Run(&env{ctx: ctx, out: out, err: errOut}); err != nil {
+		fmt.Fprintln(errOut, err)
+		return 1
+	}
+	return 0
+}
+
+type serveCommand struct {
+	entry.Settings
+}
+
+// Run runs an entry host until it is told to stop, then ends gracefully.
+func (c *serveCommand) Run(e *env) error {
+	h, cleanup, err := entry.New(context.WithoutCancel(e.ctx), c.Settings, entry.Options{LogTo: e.err})
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	<-e.ctx.Done()
+	return h.Stop(context.Background())
+}
+
+type checkCommand struct {
+	File string `arg:"" help:"The operators' text." type:"existingfile"`
+}
+
+// Run checks a text.
+func (c *checkCommand) Run(e *env) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Wrap(err, "read the text")
+	}
+	catalog, err := conf.Parse(c.File, text, 0)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(e.out, "%s: no findings; %d services, %d workspaces, %d tiers\n",
+		c.File, len(catalog.Services), len(catalog.Workspaces), len(catalog.Tiers))
+	return nil
+}
+
+type settingsCommand struct{}
+
+// Run prints the settings page.
+func (c *settingsCommand) Run(e *env) error {
+	_, err := io.WriteString(e.out, entry.SettingsPage())
+	return err
+}
--- /dev/null
+++ b/io/cmds/load.go
@@ -0,0 +1,85 @@
+package cmds
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"yuccadoor/io/load"
+)
+
+type loadCommand struct {
+	Front    []netip.AddrPort `required:"" help:"Callers' addresses of the hosts, taken in turn."`
+	Key      string           `required:"" help:"The workspace's key." env:"YUCCADOOR_KEY"`
+	Model    string           `required:"" help:"Model to ask for."`
+	Rate     float64          `help:"Requests a second." default:"50"`
+	Duration time.Duration    `help:"How long to send." default:"10s"`
+	Seed     uint64           `help:"Seed of the plan." default:"1"`
+	Mix      string           `help:"Tiers with weights, such as Order=1,Live=3." default:"Order=1,Live=2,Draft=3"`
+	Stream   bool             `help:"Ask for streams."`
+	Prefixes int              `help:"Distinct prompt prefixes." default:"16"`
+	Prompt   int              `help:"Bytes of a prompt prefix." default:"2048"`
+	Tokens   int              `help:"Least tokens of an answer." default:"4"`
+	Tail     float64          `help:"Longest answer over the shortest." default:"100"`
+	Shape    float64          `help:"Exponent of the law of lengths." default:"1.2"`
+	First    time.Duration    `help:"Objective for the first byte; 0 for any." default:"360ms"`
+	Whole    time.Duration    `help:"Objective for the whole answer; 0 for any." default:"0s"`
+	JSON     bool             `name:"json" help:"Write JSON instead of a table."`
+}
+
+// Run sends the load and prints its outcome.
+func (c *loadCommand) Run(e *env) error {
+	mix, err := parseMix(c.Mix)
+	if err != nil {
+		return err
+	}
+	runner, cleanup := load.NewRunner(load.Plan{
+		Seed: c.Seed, Rate: c.Rate, Duration: c.Duration, Mix: mix, Model: c.Model, Stream: c.Stream,
+		Prefixes: c.Prefixes, Prompt: c.Prompt, Tokens: c.Tokens, TailRatio: c.Tail, TailShape: c.Shape,
+	}, load.Target{Fronts: c.Front, Key: c.Key}, load.Objective{First: c.First, Whole: c.Whole})
+	defer cleanup()
+	result, err := runner.Run(e.ctx, nil)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return result.JSON(e.out)
+	}
+	result.Text(e.out)
+	return nil
+}
+
+func parseMix(text string) ([]load.TierMix, error) {
+	var mix []load.TierMix
+	for part := range strings.SplitSeq(text, ",") {
+		name, weight, ok := strings.Cut(part, "=")
+		n, err := strconv.Atoi(weight)
+		if !ok || err != nil || n < 0 || name == "" {
+			return nil, errors.Errorf("parse mix: %q is not Tier=weight", part)
+		}
+		mix = append(mix, load.TierMix{Name: name, Weight: n})
+	}
+	return mix, nil
+}
+
+// progress returns a function that writes a line now and then.
+func progress(e *env) func(done, all int) {
+	var last time.Time
+	return func(done, all int) {
+		if time.Since(last) < progressPeriod && done < all {
+			return
+		}
+		last = time.Now()
+		fmt.Fprintf(e.err, "\r%d of %d answered", done, all)
+		if done == all {
+			fmt.Fprintln(e.err)
+		}
+	}
+}
+
+// progressPeriod is the time between progress lines.
+const progressPeriod = 200 * time.Millisecond
--- /dev/null
+++ b/io/loop/loop.go
@@ -0,0 +1,375 @@
+// Package loop runs a host's decisions. One goroutine owns every decision
+// state; the other duties hand it events through a bounded ring and read the
+// immutable snapshots that it publishes.
+package loop
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"yuccadoor/core/conf"
+	"yuccadoor/core/crash"
+	"yuccadoor/core/limit"
+	"yuccadoor/core/member"
+	"yuccadoor/core/model"
+	"yuccadoor/core/once"
+	"yuccadoor/core/permit"
+	"yuccadoor/core/ring"
+	"yuccadoor/core/route"
+	"yuccadoor/core/sched"
+	"yuccadoor/core/view"
+	"yuccadoor/io/peers"
+)
+
+// Times and bounds of the loop.
+const (
+	tickPeriod = 10 * time.Millisecond
+	viewPeriod = 100 * time.Millisecond // between looks at who is alive
+	eventRing  = 8192
+	batch      = 64 // events handled before messages go out
+)
+
+// Mesh carries messages to peers.
+type Mesh interface {
+	Holder(to netip.AddrPort, m permit.FromHolder)
+	Manager(to netip.AddrPort, m permit.FromManager)
+	Fresh(to netip.AddrPort, f peers.Fetch)
+	Exchange(ctx context.Context, to netip.AddrPort, x member.Exchange) (member.Exchange, error)
+	Fetch(ctx context.Context, to netip.AddrPort, f peers.Fetch) (peers.Document, error)
+}
+
+// Logger takes one event a line.
+type Logger interface {
+	Event(level, message string, fields ...any)
+}
+
+// Settings are what a loop needs to know at its start.
+type Settings struct {
+	Self        netip.AddrPort
+	Zone        string
+	Incarnation model.Incarnation
+	MaxWaiting  int
+	Policy      route.Policy
+	Seed        uint64
+	Log         Logger
+	Now         func() time.Time
+}
+
+// Verdict is the decision on a request: start it, or refuse it.
+type Verdict struct {
+	Start   *sched.Start
+	Refusal *model.Refusal
+}
+
+// event is one thing for the deciding goroutine to do.
+type event func(now time.Time)
+
+// Loop is the deciding part of a host.
+type Loop struct {
+	settings Settings
+	start    time.Time
+	events   *ring.Ring[event]
+	view     atomic.Pointer[view.View]
+	status   atomic.Pointer[Status]
+	done     chan struct{}
+
+	// Owned by the deciding goroutine.
+	mesh     Mesh
+	sched    *sched.Scheduler
+	manager  *permit.Manager
+	members  *member.Members
+	keys     *once.Table
+	crashes  *crash.Records
+	verdicts map[model.RequestID]chan Verdict
+	config   document
+	list     *model.HostList
+	alive    map[netip.AddrPort]bool
+	viewedAt time.Time
+	nextID   model.RequestID
+	serial   uint64
+	peersMet bool
+}
+
+// document is the operators' text as adopted or rejected.
+type document struct {
+	revision model.Revision
+	text     string
+	catalog  *conf.Catalog
+	rejected model.Revision
+	findings string
+}
+
+// New starts the deciding goroutine and returns the loop with its clean-up
+// function. Attach gives it the mesh.
+func New(ctx context.Context, s Settings) (*Loop, func()) {
+	start := s.Now()
+	holder := permit.NewHolder(s.Incarnation, start)
+	l := &Loop{
+		settings: s,
+		start:    start,
+		events:   ring.New[event](eventRing),
+		done:     make(chan struct{}),
+		sched:    sched.New(sched.Settings{MaxWaiting: s.MaxWaiting, Policy: s.Policy, Seed: s.Seed}, holder),
+		manager:  permit.NewManager(s.Incarnation),
+		members:  member.New(s.Self, start, s.Seed),
+		keys:     once.NewTable(s.Self, s.Incarnation),
+		crashes:  crash.NewRecords(),
+		verdicts: map[model.RequestID]chan Verdict{},
+		list:     &model.HostList{},
+	}
+	l.status.Store(&Status{})
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer close(l.done)
+		l.decide(ctx)
+	}()
+	return l, func() {
+		cancel()
+		<-l.done
+	}
+}
+
+// Attach gives the loop the mesh through which it reaches peers.
+func (l *Loop) Attach(ctx context.Context, m Mesh) error {
+	return l.do(ctx, func(time.Time) { l.mesh = m })
+}
+
+// post hands an event to the deciding goroutine, waiting for room.
+func (l *Loop) post(ctx context.Context, e event) error { return l.events.Put(ctx, e) }
+
+// do hands over an event and waits until it has been handled.
+func (l *Loop) do(ctx context.Context, e event) error {
+	handled := make(chan struct{})
+	err := l.post(ctx, func(now time.Time) {
+		e(now)
+		close(handled)
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-handled:
+		return nil
+	case <-l.done:
+		return context.Canceled
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *Loop) decide(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-l.events.Items():
+			now := l.settings.Now()
+			e(now)
+			l.drain(now)
+		case <-ticker.C:
+			l.tick(l.settings.Now())
+		}
+		l.pump(l.settings.Now())
+	}
+}
+
+// drain handles the events that are waiting already, up to a bound.
+func (l *Loop) drain(now time.Time) {
+	for range batch {
+		select {
+		case e := <-l.events.Items():
+			e(now)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Loop) tick(now time.Time) {
+	if now.Sub(l.viewedAt) >= viewPeriod {
+		l.viewedAt = now
+		l.watchMembers(now)
+		l.publish(now)
+	}
+	if l.view.Load() == nil {
+		return
+	}
+	l.sched.Tick(now)
+	l.manager.Tick(now)
+}
+
+// pump delivers messages until none are left for this host itself, then hands
+// the verdicts out.
+func (l *Loop) pump(now time.Time) {
+	if l.view.Load() == nil {
+		l.deliver()
+		return
+	}
+	for {
+		local := l.sendHolder(now)
+		if !l.sendManager(now) && !local {
+			break
+		}
+	}
+	l.deliver()
+}
+
+func (l *Loop) sendHolder(now time.Time) (local bool) {
+	for _, m := range l.sched.Flush(now) {
+		if m.Manager == l.settings.Self {
+			l.manager.Receive(now, l.settings.Self, m.Message)
+			local = true
+		} else {
+			l.mesh.Holder(m.Manager, m.Message)
+		}
+	}
+	return local
+}
+
+func (l *Loop) sendManager(now time.Time) (local bool) {
+	for _, m := range l.manager.Flush() {
+		if m.Holder == l.settings.Self {
+			l.sched.Receive(now, l.settings.Self, m.Message, l.manager.Known)
+			local = true
+		} else {
+			l.mesh.Manager(m.Holder, m.Message)
+		}
+	}
+	return local
+}
+
+// deliver hands the scheduler's decisions to the requests' goroutines.
+func (l *Loop) deliver() {
+	d := l.sched.Take()
+	for i := range d.Starts {
+		l.hand(d.Starts[i].Request, Verdict{Start: &d.Starts[i]})
+	}
+	for i := range d.Refuses {
+		l.hand(d.Refuses[i].Request, Verdict{Refusal: &d.Refuses[i].Refusal})
+	}
+}
+
+func (l *Loop) hand(id model.RequestID, v Verdict) {
+	if c := l.verdicts[id]; c != nil {
+		delete(l.verdicts, id)
+		c <- v
+	}
+}
+
+// View is the current snapshot; nil before the host knows enough.
+func (l *Loop) View() *view.View { return l.view.Load() }
+
+// Submit hands in a request and returns its number and where its verdict will
+// come.
+func (l *Loop) Submit(ctx context.Context, r *model.Request) (model.RequestID, <-chan Verdict, error) {
+	c := make(chan Verdict, 1)
+	var id model.RequestID
+	// The loop must not keep a request whose caller no longer knows of it.
+	err := l.do(context.WithoutCancel(ctx), func(now time.Time) {
+		l.nextID++
+		id = l.nextID
+		r.ID = id
+		l.verdicts[id] = c
+		if left, refused := l.crashes.Refused(now, r.Fingerprint); refused {
+			l.hand(id, Verdict{Refusal: &model.Refusal{
+				Ran: model.NotRun, Reason: model.ReasonCrashes, RetryAfter: left,
+				Detail: "requests of this content have crashed their targets",
+			}})
+			return
+		}
+		l.sched.Arrive(now, r)
+	})
+	return id, c, err
+}
+
+// Cancel drops a request whose caller went away. If it has started already, the
+// verdict says so, and the start must be finished as unused.
+func (l *Loop) Cancel(id model.RequestID) {
+	_ = l.post(context.Background(), func(time.Time) { l.sched.Cancel(id) })
+}
+
+// Finished reports how a started request ended.
+func (l *Loop) Finished(id model.RequestID, r limit.Result) {
+	_ = l.post(context.Background(), func(time.Time) { l.sched.Finished(id, r) })
+}
+
+// Returned gives a started request back, of which nothing was sent, and returns
+// where its next verdict will come.
+func (l *Loop) Returned(id model.RequestID, kind limit.Kind) <-chan Verdict {
+	c := make(chan Verdict, 1)
+	_ = l.post(context.Background(), func(now time.Time) {
+		l.verdicts[id] = c
+		l.sched.Returned(now, id, kind)
+	})
+	return c
+}
+
+// Crashed reports that a target broke while it ran a content.
+func (l *Loop) Crashed(f model.Fingerprint, target netip.AddrPort) {
+	_ = l.post(context.Background(), func(now time.Time) { l.crashes.Crashed(now, f, target) })
+}
+
+// Reported takes in a target's own account: its incarnation and its load.
+func (l *Loop) Reported(target netip.AddrPort, incarnation model.Incarnation, load int) {
+	_ = l.post(context.Background(), func(time.Time) {
+		l.manager.Report(target, incarnation)
+		l.sched.Reported(target, load)
+	})
+}
+
+// IssueKey makes a key of which this process is the home.
+func (l *Loop) IssueKey(ctx context.Context) (once.Key, error) {
+	var k once.Key
+	err := l.do(ctx, func(now time.Time) {
+		l.serial++
+		k = once.Issue(l.settings.Self, l.settings.Incarnation, l.serial, now)
+	})
+	return k, err
+}
+
+// KeyDecision is what to do with a keyed request.
+type KeyDecision struct {
+	Verdict once.Verdict
+	Entry   once.Entry     // with Repeat
+	Home    netip.AddrPort // with Forward
+}
+
+// BeginKey decides on a keyed request.
+func (l *Loop) BeginKey(ctx context.Context, k once.Key, digest model.Fingerprint) (KeyDecision, error) {
+	var d KeyDecision
+	err := l.do(ctx, func(now time.Time) {
+		verdict, entry := l.keys.Begin(now, k, digest)
+		d.Verdict = verdict
+		if entry != nil {
+			d.Entry = *entry
+		}
+		d.Home, _ = l.keys.Home(k)
+	})
+	return d, err
+}
+
+// KeyDone records how a key's request ended.
+func (l *Loop) KeyDone(k once.Key, e once.Entry) {
+	_ = l.post(context.Background(), func(time.Time) { l.keys.Done(k, e) })
+}
+
+// KeyNotRun forgets a key whose request certainly did not run.
+func (l *Loop) KeyNotRun(k once.Key) {
+	_ = l.post(context.Background(), func(time.Time) { l.keys.NotRun(k) })
+}
+
+// Stop refuses new requests from now on.
+func (l *Loop) Stop(ctx context.Context) error {
+	return l.do(ctx, func(time.Time) { l.sched.Stop() })
+}
+
+// Idle reports whether no request waits or runs.
+func (l *Loop) Idle(ctx context.Context) bool {
+	idle := false
+	err := l.do(ctx, func(time.Time) { idle = l.sched.Idle() })
+	return err == nil && idle
+}
--- /dev/null
+++ b/io/stats/stats.go
@@ -0,0 +1,82 @@
+// Package stats keeps a host's metrics and the counts from which the
+// service-level burn report is made.
+package stats
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"yuccadoor/core/burn"
+	"yuccadoor/io/front"
+)
+
+// Stats counts what a host does. Its methods may be called by any goroutine.
+type Stats struct {
+	set *metrics.Set
+	now func() time.Time
+	mu  sync.Mutex
+	log *burn.Log // guarded by mu
+}
+
+// New returns empty counts.
+func New(now func() time.Time) *Stats {
+	return &Stats{set: metrics.NewSet(), now: now, log: burn.NewLog()}
+}
+
+// Record implements front.Recorder.
+func (s *Stats) Record(o front.Outcome) {
+	e := burn.Event{Key: burn.Key{Service: o.Service, Tier: o.Tier, Zone: o.Zone}, Cause: cause(o)}
+	labels := fmt.Sprintf(`{service=%q,tier=%q,outcome=%q}`, o.Service, o.Tier, e.Outcome())
+	s.set.GetOrCreateCounter("yuccadoor_requests_total" + labels).Inc()
+	s.set.GetOrCreateHistogram(fmt.Sprintf(`yuccadoor_request_seconds{service=%q,tier=%q}`, o.Service, o.Tier)).Update(o.Total.Seconds())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log.Add(s.now(), e)
+}
+
+// cause names why a request missed its objective; empty when it met it.
+func cause(o front.Outcome) string {
+	objective := o.Objective
+	switch {
+	case o.Refusal != nil:
+		return string(o.Refusal.Reason)
+	case objective.FirstToken > 0 && o.FirstByte > objective.FirstToken:
+		return "FirstTokenLate"
+	case objective.BetweenTokens > 0 && o.Pace > objective.BetweenTokens:
+		return "TokensSlow"
+	case objective.Whole > 0 && o.Total > objective.Whole:
+		return "WholeLate"
+	}
+	return ""
+}
+
+// Burn returns the counts of the burn report.
+func (s *Stats) Burn() []burn.Count {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.log.Counts(s.now())
+}
+
+// Sent implements peers.Counters.
+func (s *Stats) Sent(_ string, bytes int) {
+	s.set.GetOrCreateCounter("yuccadoor_peer_sent_bytes_total").Add(bytes)
+	s.set.GetOrCreateCounter("yuccadoor_peer_messages_total").Inc()
+}
+
+// Received implements peers.Counters.
+func (s *Stats) Received(bytes int) {
+	s.set.GetOrCreateCounter("yuccadoor_peer_received_bytes_total").Add(bytes)
+}
+
+// Gauge registers a value that is read when metrics are.
+func (s *Stats) Gauge(name string, f func() float64) { s.set.NewGauge(name, f) }
+
+// Write writes all metrics in the customary text form.
+func (s *Stats) Write(w io.Writer) {
+	s.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
