Permits: cold targets are not overrun under loss, restarts and cuts

Cause: random runs of the permit protocol over lossy links showed slots lost for good and cold targets given more than they bear. Ruled out: longer leases alone (a cut-off holder outlives any lease), load reports alone (they may be older than the cut). Change: claims are accepted or not, per target; parts of a cold limit add up to at most the whole while hosts are out of reach; reports count only when read after the cut can have been noticed by both sides.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -3,7 +3,10 @@
 // results say so.
 package limit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Speeds beyond which a result counts against its target.
 const (
@@ -11,6 +14,8 @@
 	slowFactor     = 2.0 // times the usual pace: the target does not warm
 	paceWeight     = 0.1 // of a new result in the usual pace
 	minimumSamples = 8   // results before the usual pace is trusted
+	minimumUnits   = 8   // units that make one result's pace trustworthy by itself
+	windowSize     = 5   // rough results whose median is trusted
 )
 
 // Kind classifies how a request on a target ended.
@@ -28,19 +33,42 @@
 )
 
 // Result is how one request on a target ended. Pace is the time for one unit
-// of work: a token of a model engine, the whole call of a plain service. Zero
-// means unknown.
+// of work; zero means unknown. Units is how many units were timed one by one,
+// such as the tokens of a stream. With zero Units the pace is rough: the time
+// of a whole call, whose size is unknown.
 type Result struct {
-	Kind Kind
-	Pace time.Duration
+	Kind  Kind
+	Pace  time.Duration
+	Units int
 }
 
 // Warmth is the present limit of one target. The zero value is not usable.
 type Warmth struct {
 	cold, warm int
 	slots      int
-	usual      float64 // seconds a unit, running average
-	samples    int
+	exact      usual
+	rough      usual
+	window     []float64 // last rough paces, seconds
+}
+
+// usual is a running average of paces in seconds.
+type usual struct {
+	pace    float64
+	samples int
+}
+
+func (u *usual) learn(pace float64) {
+	u.samples++
+	if u.samples == 1 {
+		u.pace = pace
+		return
+	}
+	u.pace += paceWeight * (pace - u.pace)
+}
+
+// exceeds reports whether a pace is over the usual one by a factor.
+func (u *usual) exceeds(pace, factor float64) bool {
+	return u.samples >= minimumSamples && pace > factor*u.pace
 }
 
 // NewWarmth returns the limit of a target that has just started.
@@ -72,36 +100,49 @@
 func (w *Warmth) Observe(r Result) bool {
 	switch r.Kind {
 	case Completed:
-		return w.completed(r.Pace.Seconds())
+		return w.completed(r)
 	case NoConnect, Broken, Silent, Overloaded:
-		turned := !w.Cold()
-		w.Reset()
-		return turned
+		return w.turn()
 	case Unused, Cancelled:
 	}
 	return false
 }
 
-func (w *Warmth) completed(pace float64) bool {
-	if pace > 0 && w.samples >= minimumSamples && pace > coldFactor*w.usual {
-		turned := !w.Cold()
-		w.Reset()
-		return turned
+// turn makes the target cold and reports whether it was not.
+func (w *Warmth) turn() bool {
+	turned := !w.Cold()
+	w.Reset()
+	return turned
+}
+
+func (w *Warmth) completed(r Result) bool {
+	pace, average := w.judged(r)
+	if pace > 0 && average.exceeds(pace, coldFactor) {
+		return w.turn()
 	}
 	if pace > 0 {
-		w.learn(pace)
+		average.learn(pace)
 	}
-	if pace <= 0 || w.samples < minimumSamples || pace <= slowFactor*w.usual {
+	if pace <= 0 || !average.exceeds(pace, slowFactor) {
 		w.slots = min(w.slots+1, w.warm)
 	}
 	return false
 }
 
-func (w *Warmth) learn(pace float64) {
-	w.samples++
-	if w.samples == 1 {
-		w.usual = pace
-		return
+// judged gives the pace to judge a result by and the average to hold it
+// against. One call's whole time says little, since calls differ a hundredfold;
+// the median of the last few says whether the target has changed.
+func (w *Warmth) judged(r Result) (float64, *usual) {
+	if r.Units >= minimumUnits {
+		return r.Pace.Seconds(), &w.exact
+	}
+	if r.Units > 0 || r.Pace <= 0 {
+		return 0, &w.exact
+	}
+	w.window = append(w.window, r.Pace.Seconds())
+	if len(w.window) > windowSize {
+		w.window = w.window[1:]
 	}
-	w.usual += paceWeight * (pace - w.usual)
+	sorted := slices.Sorted(slices.Values(w.window))
+	return sorted[len(sorted)/2], &w.rough
 }
--- a/core/permit/holder.go
+++ b/core/permit/holder.go
@@ -42,11 +42,21 @@
 	target netip.AddrPort
 }
 
+// held is a permit in hand. Every manager that was ever told of it counts it
+// until it is released: an earlier one may still be granting by an older list.
 type held struct {
-	manager   netip.AddrPort
+	managers  []netip.AddrPort // the present one last
 	workspace string
 }
 
+func (p held) manager() netip.AddrPort { return p.managers[len(p.managers)-1] }
+
+// movedTo returns the permit with a new present manager.
+func (p held) movedTo(manager netip.AddrPort) held {
+	others := slices.DeleteFunc(slices.Clone(p.managers), func(a netip.AddrPort) bool { return a == manager })
+	return held{managers: append(others, manager), workspace: p.workspace}
+}
+
 // link is the state of the protocol with one manager.
 type link struct {
 	incarnation model.Incarnation // of the manager
@@ -106,11 +116,16 @@
 		}
 	}
 	for k, p := range h.permits {
-		if m, ok := h.manager(k.target); ok && m != p.manager {
-			h.permits[k] = held{manager: m, workspace: p.workspace}
+		if m, ok := h.manager(k.target); ok && m != p.manager() {
+			h.permits[k] = p.movedTo(m)
 			h.state(k, m, p.workspace)
 		}
 	}
+	for a, l := range h.links {
+		if l.full && l.seq > 0 && v.Alive(a) {
+			l.pending = true
+		}
+	}
 	return h.moveAsks()
 }
 
@@ -120,7 +135,7 @@
 	var events []Event
 	for k, a := range h.asks {
 		if m, ok := h.manager(k.target); !ok || m != a.manager {
-			h.forget(k)
+			h.Withdraw(k.ticket, k.target)
 			events = append(events, Event{Kind: Denied, Ticket: k.ticket, Target: k.target, Status: NotManager})
 		}
 	}
@@ -208,7 +223,9 @@
 		return
 	}
 	delete(h.permits, k)
-	h.giveBack(p.manager, k, r)
+	for _, m := range p.managers {
+		h.giveBack(m, k, r)
+	}
 }
 
 func (h *Holder) giveBack(manager netip.AddrPort, k askKey, r limit.Result) {
@@ -217,12 +234,21 @@
 	l.out.Releases = append(l.out.Releases, Release{Ticket: k.ticket, Target: k.target, Result: r})
 }
 
-// Receive handles a manager's message. known is what this host can tell a new
-// manager of the targets that it asks about.
-func (h *Holder) Receive(manager netip.AddrPort, in FromManager, known func([]netip.AddrPort) []Known) []Event {
+// Local is the manager's side of the same host, as its holder needs it.
+type Local interface {
+	// Known is what this host can tell a new manager of a target.
+	Known(target netip.AddrPort) (Known, bool)
+	// Supersede tells that another host manages a target by a list of the
+	// given revision.
+	Supersede(target netip.AddrPort, revision model.Revision)
+}
+
+// Receive handles a manager's message.
+func (h *Holder) Receive(manager netip.AddrPort, in FromManager, local Local) []Event {
 	l := h.link(manager)
 	if in.Incarnation != l.incarnation {
 		l.incarnation, l.heard, l.full, l.pending = in.Incarnation, 0, true, true
+		l.out.Accepted = nil // of another process's claims
 	}
 	if in.Seq <= l.heard {
 		return nil
@@ -231,8 +257,8 @@
 		l.full, l.pending = true, true
 	}
 	l.heard = in.Seq
-	if in.Query > 0 {
-		h.answer(manager, l, in, known)
+	for _, c := range in.Claims {
+		h.claimed(manager, l, in.Fence, c, local)
 	}
 	var events []Event
 	for _, g := range in.Grants {
@@ -244,27 +270,33 @@
 	return events
 }
 
-// answer replies to a take-over query, and from then on takes permits for the
-// targets from that manager only, unless its own list is newer.
-func (h *Holder) answer(manager netip.AddrPort, l *link, in FromManager, known func([]netip.AddrPort) []Known) {
+// claimed accepts a manager's claim, unless this host has read a newer list or
+// accepted a claim by one: then the manager hears nothing, and claims again when
+// it has read that list too.
+func (h *Holder) claimed(manager netip.AddrPort, l *link, revision model.Revision, c Claim, local Local) {
+	if revision < h.view.List.Revision || revision < h.fences[c.Target].revision {
+		return
+	}
+	h.fences[c.Target] = fence{revision: revision, manager: manager}
 	l.pending = true
-	l.out.Answer = max(l.out.Answer, in.Query)
-	l.out.Known = append(l.out.Known, known(in.Taken)...)
-	for _, t := range in.Taken {
-		if in.Fence >= h.view.List.Revision && in.Fence >= h.fences[t].revision {
-			h.fences[t] = fence{revision: in.Fence, manager: manager}
-		}
-		for k, p := range h.permits {
-			if k.target == t {
-				h.state(k, manager, p.workspace)
-				h.permits[k] = held{manager: manager, workspace: p.workspace}
-			}
+	l.out.Accepted = append(l.out.Accepted, c)
+	if k, ok := local.Known(c.Target); ok {
+		l.out.Known = append(l.out.Known, k)
+	}
+	local.Supersede(c.Target, revision)
+	for k, p := range h.permits {
+		if k.target == c.Target {
+			h.state(k, manager, p.workspace)
+			h.permits[k] = p.movedTo(manager)
 		}
 	}
 }
 
 func (h *Holder) granted(events []Event, manager netip.AddrPort, in FromManager, g Grant) []Event {
 	k := askKey{g.Ticket, g.Target}
+	if _, again := h.permits[k]; again {
+		return events // the manager lost track of it and will hear
+	}
 	a, wanted := h.asks[k]
 	h.forget(k)
 	current, _ := h.manager(g.Target)
@@ -272,7 +304,7 @@
 		h.giveBack(manager, k, limit.Result{Kind: limit.Unused})
 		return events
 	}
-	h.permits[k] = held{manager: manager, workspace: a.ask.Workspace}
+	h.permits[k] = held{managers: []netip.AddrPort{manager}, workspace: a.ask.Workspace}
 	return append(events, Event{
 		Kind: Granted, Ticket: g.Ticket, Target: g.Target, Fence: in.Fence,
 		Expires: h.epoch.Add(in.Echo + permitLife),
@@ -295,23 +327,16 @@
 	return append(events, Event{Kind: kind, Ticket: n.Ticket, Target: n.Target, Status: n.Status})
 }
 
-// Lost tells the holder that messages to a manager may not have arrived.
+// Lost tells the holder that messages to a manager may not have arrived. A
+// release may be among them, so a full statement follows even when nothing is
+// held or asked for any more.
 func (h *Holder) Lost(manager netip.AddrPort) {
 	l := h.links[manager]
 	if l == nil {
 		return
 	}
 	l.full = true
-	l.pending = l.pending || l.asks > 0 || h.holdsFrom(manager)
-}
-
-func (h *Holder) holdsFrom(manager netip.AddrPort) bool {
-	for _, p := range h.permits {
-		if p.manager == manager {
-			return true
-		}
-	}
-	return false
+	l.pending = l.pending || h.view.Alive(manager)
 }
 
 // Flush returns the messages that have gathered, one a manager. While asks are
@@ -347,7 +372,7 @@
 	msg.Full = true
 	msg.Asks, msg.Withdrawals, msg.Holdings = nil, nil, nil
 	for k, p := range h.permits {
-		if p.manager == manager {
+		if slices.Contains(p.managers, manager) {
 			msg.Holdings = append(msg.Holdings, Holding{Ticket: k.ticket, Target: k.target, Workspace: p.workspace})
 		}
 	}
--- a/core/permit/manager.go
+++ b/core/permit/manager.go
@@ -15,12 +15,15 @@
 // Times and bounds of the manager's side.
 const (
 	holderGrace   = 30 * time.Second       // permits of a lost holder count this long
-	takeoverWait  = 3 * time.Second        // longest wait for answers to a query
-	queryPeriod   = 500 * time.Millisecond // between repeats of a query
+	takeoverWait  = 10 * time.Second       // longest wait for answers to a claim
+	noticeSkew    = 3 * time.Second        // between two hosts' noticing the same cut
+	reportLag     = 5 * time.Second        // oldest load report that a target gives
+	claimPeriod   = 500 * time.Millisecond // between repeats of a claim
 	maxAsks       = 4096                   // asks kept for one target
 	backoffFirst  = 500 * time.Millisecond // after a target failed
 	backoffLast   = 8 * time.Second
 	backoffFactor = 2
+	unreported    = -1
 )
 
 // holderKey names a ticket across the fleet.
@@ -49,11 +52,16 @@
 	downTil     time.Time
 	backoff     time.Duration
 
-	// A new manager grants nothing until awaited is empty or waitTil passes.
-	awaited map[netip.AddrPort]bool
-	waitTil time.Time
-	askedAt time.Time
-	query   uint64
+	// A new manager grants nothing until every listed host has said what it
+	// holds, or waitTil passes. After that, while some are silent, it takes the
+	// target's own report for what they hold.
+	settled  bool
+	answered map[netip.AddrPort]bool
+	waitTil  time.Time
+	trustAt  time.Time // reports read earlier may show the time before the cut
+	askedAt  time.Time
+	claim    uint64 // number of the take-over
+	reported int    // running by the target's last report; negative before the first
 }
 
 // peer is the state of the protocol with one holder.
@@ -74,9 +82,10 @@
 	view        *view.View
 	targets     map[netip.AddrPort]*managed
 	peers       map[netip.AddrPort]*peer
-	order       []netip.AddrPort         // of targets, for a fixed order of work
-	retired     map[netip.AddrPort]Known // targets that other hosts manage now
-	queries     uint64
+	order       []netip.AddrPort                  // of targets, for a fixed order of work
+	retired     map[netip.AddrPort]Known          // targets that other hosts manage now
+	superseded  map[netip.AddrPort]model.Revision // by which list another host took over
+	claims      uint64
 }
 
 // NewManager returns a manager without targets.
@@ -86,6 +95,7 @@
 		targets:     map[netip.AddrPort]*managed{},
 		peers:       map[netip.AddrPort]*peer{},
 		retired:     map[netip.AddrPort]Known{},
+		superseded:  map[netip.AddrPort]model.Revision{},
 	}
 }
 
@@ -97,7 +107,7 @@
 	m.order = m.order[:0]
 	mine := map[netip.AddrPort]bool{}
 	for _, t := range v.Managed() {
-		if v.Catalog == nil || v.Catalog.Services[t.Service] == nil {
+		if v.Catalog == nil || v.Catalog.Services[t.Service] == nil || m.superseded[t.Address] > v.List.Revision {
 			continue
 		}
 		mine[t.Address] = true
@@ -126,6 +136,7 @@
 		}
 		m.targets[t.Address] = g
 		delete(m.retired, t.Address)
+		delete(m.superseded, t.Address)
 		m.takeOver(now, g)
 		return
 	}
@@ -140,28 +151,47 @@
 	}
 }
 
-// takeOver starts a query to every host that may hold permits.
+// takeOver sends a claim to every host that may hold permits.
 func (m *Manager) takeOver(now time.Time, g *managed) {
-	m.queries++
-	g.query = m.queries
-	g.awaited = map[netip.AddrPort]bool{m.view.Self: true}
-	for _, a := range m.view.AlivePeers() {
-		g.awaited[a] = true
-	}
+	m.claims++
+	g.claim = m.claims
+	g.answered = map[netip.AddrPort]bool{}
+	g.reported = unreported
 	g.waitTil = now.Add(takeoverWait)
-	m.sendQuery(now, g)
+	g.trustAt = now.Add(noticeSkew + reportLag)
+	m.sendClaim(now, g)
 }
 
-func (m *Manager) sendQuery(now time.Time, g *managed) {
+// sendClaim asks the hosts that are alive and have not answered.
+func (m *Manager) sendClaim(now time.Time, g *managed) {
 	g.askedAt = now
-	for a := range g.awaited {
-		p := m.peer(a)
-		p.pending = true
-		p.out.Query = max(p.out.Query, g.query)
-		if !slices.Contains(p.out.Taken, g.target.Address) {
-			p.out.Taken = append(p.out.Taken, g.target.Address)
+	m.claimFrom(g, m.view.Self)
+	for _, a := range m.view.AlivePeers() {
+		m.claimFrom(g, a)
+	}
+}
+
+func (m *Manager) claimFrom(g *managed, host netip.AddrPort) {
+	if g.answered[host] {
+		return
+	}
+	p := m.peer(host)
+	p.pending = true
+	p.out.Claims = slices.DeleteFunc(p.out.Claims, func(c Claim) bool { return c.Target == g.target.Address })
+	p.out.Claims = append(p.out.Claims, Claim{Target: g.target.Address, Number: g.claim})
+}
+
+// settle ends a take-over when every listed host has answered.
+func (m *Manager) settle(g *managed) {
+	if g.settled || !g.answered[m.view.Self] {
+		return
+	}
+	for _, h := range m.view.List.Hosts {
+		if !g.answered[h.Peer] {
+			return
 		}
 	}
+	g.settled, g.answered = true, nil
 }
 
 func (m *Manager) dropTarget(a netip.AddrPort, g *managed) {
@@ -182,10 +212,15 @@
 	}
 }
 
-// watchPeers notes which holders are out of reach since when.
+// watchPeers notes which holders are out of reach since when. One that the
+// platform no longer lists is gone, and so is what it ran.
 func (m *Manager) watchPeers(now time.Time) {
 	for a, p := range m.peers {
+		_, listed := m.view.List.HostAt(a)
 		switch {
+		case !listed:
+			m.dropAsks(a)
+			m.dropHoldings(a)
 		case m.view.Alive(a):
 			p.lostAt = time.Time{}
 		case p.lostAt.IsZero():
@@ -194,12 +229,37 @@
 		}
 	}
 	for _, g := range m.targets {
-		for a := range g.awaited {
-			if !m.view.Alive(a) {
-				delete(g.awaited, a)
-			}
+		m.settle(g)
+	}
+}
+
+// doubt gives up counting the permits of a holder long out of reach. It may be
+// dead, or cut off with its requests still running, so that from now on the
+// targets' reports count until the holder answers or is no longer listed.
+func (m *Manager) doubt(now time.Time, holder netip.AddrPort) {
+	for _, g := range m.targets {
+		if !g.settled || !g.runs(holder) {
+			continue
+		}
+		m.claims++
+		g.claim = m.claims
+		g.settled = false
+		g.answered = map[netip.AddrPort]bool{m.view.Self: true}
+		for _, h := range m.view.List.Hosts {
+			g.answered[h.Peer] = h.Peer != holder
 		}
+		g.askedAt, g.reported = now, unreported
 	}
+	m.dropHoldings(holder)
+}
+
+func (g *managed) runs(holder netip.AddrPort) bool {
+	for k := range g.running {
+		if k.holder == holder {
+			return true
+		}
+	}
+	return false
 }
 
 func (m *Manager) dropAsks(holder netip.AddrPort) {
@@ -280,12 +340,11 @@
 	}
 	for _, h := range in.Holdings {
 		if g := m.targets[h.Target]; g != nil {
+			g.asks.Remove(holderKey{holder, h.Ticket}) // granted by a former manager
 			g.start(holderKey{holder, h.Ticket}, outstanding{workspace: h.Workspace, era: g.era})
 		}
 	}
-	if in.Answer > 0 {
-		m.answered(holder, in)
-	}
+	m.accepted(holder, in)
 	for _, a := range in.Asks {
 		m.ask(now, holderKey{holder, a.Ticket}, a)
 	}
@@ -311,10 +370,12 @@
 	}
 }
 
-func (m *Manager) answered(holder netip.AddrPort, in FromHolder) {
-	for _, g := range m.targets {
-		if g.query <= in.Answer {
-			delete(g.awaited, holder)
+func (m *Manager) accepted(holder netip.AddrPort, in FromHolder) {
+	for _, c := range in.Accepted {
+		g := m.targets[c.Target]
+		if g != nil && !g.settled && g.claim == c.Number {
+			g.answered[holder] = true
+			m.settle(g)
 		}
 	}
 	for _, k := range in.Known {
@@ -380,13 +441,16 @@
 	}
 }
 
-// Report takes in which incarnation of a managed target has answered. A new one
-// is cold; the one that a former manager knew keeps its limit.
-func (m *Manager) Report(target netip.AddrPort, incarnation model.Incarnation) {
+// Report takes in a managed target's own account: its incarnation, and how many
+// requests it runs. A new incarnation is cold; the one that a former manager knew keeps its limit.
+func (m *Manager) Report(now time.Time, target netip.AddrPort, incarnation model.Incarnation, running int) {
 	g := m.targets[target]
 	if g == nil {
 		return
 	}
+	if !now.Before(g.trustAt) {
+		g.reported = running
+	}
 	if g.incarnation != 0 && g.incarnation != incarnation {
 		g.reset()
 	}
@@ -442,13 +506,14 @@
 func (m *Manager) Tick(now time.Time) {
 	for a, p := range m.peers {
 		if !p.lostAt.IsZero() && now.Sub(p.lostAt) > holderGrace {
-			m.dropHoldings(a)
+			p.lostAt = now
+			m.doubt(now, a)
 		}
 	}
 	for _, a := range m.order {
 		g := m.targets[a]
-		if len(g.awaited) > 0 && now.Sub(g.askedAt) >= queryPeriod {
-			m.sendQuery(now, g)
+		if !g.settled && now.Sub(g.askedAt) >= claimPeriod {
+			m.sendClaim(now, g)
 		}
 	}
 	m.serveAll(now)
@@ -478,18 +543,33 @@
 
 // ready reports whether a target may be granted now.
 func (m *Manager) ready(now time.Time, g *managed) bool {
-	if len(g.awaited) > 0 && now.Before(g.waitTil) {
+	if !g.settled && now.Before(g.waitTil) {
 		return false
 	}
 	return !now.Before(g.downTil) && m.view.Usable(g.target.Address)
 }
 
-// slots is the number of permits that may be out for a target.
+// slots is the number of permits that may be out for a target. While hosts of
+// the zone are out of reach, another manager may be granting for the same
+// target: then the parts of a cold target's limit must not add up to more than
+// the whole. While hosts have not said what they hold, all that the target
+// reports counts as theirs.
 func (m *Manager) slots(g *managed) int {
+	whole := g.warmth.Slots()
+	slots := whole
+	if g.warmth.Cold() {
+		slots = m.view.Scale(g.target.Address, whole)
+	}
 	if g.probing {
-		return min(1, m.view.Scale(g.target.Address, g.warmth.Slots()))
+		slots = min(1, slots)
+	}
+	if g.settled {
+		return slots
 	}
-	return m.view.Scale(g.target.Address, g.warmth.Slots())
+	if g.reported == unreported {
+		return 0
+	}
+	return min(slots, whole-g.reported)
 }
 
 // use is a workspace's running work on a target divided by its share.
@@ -551,16 +631,26 @@
 	return loads
 }
 
-// Known tells a successor what this host has learnt of the targets that it
-// manages or used to manage.
-func (m *Manager) Known(targets []netip.AddrPort) []Known {
-	var known []Known
-	for _, a := range targets {
-		if g := m.targets[a]; g != nil && len(g.awaited) == 0 {
-			known = append(known, Known{Target: a, Slots: g.warmth.Slots(), Incarnation: g.incarnation})
-		} else if k, ok := m.retired[a]; ok {
-			known = append(known, k)
-		}
+// Supersede gives up a target that another host manages by a newer list than
+// this host has read. Should this host manage it again by a still newer one, it
+// takes it over anew, since others have granted in between.
+func (m *Manager) Supersede(target netip.AddrPort, revision model.Revision) {
+	if revision <= m.view.List.Revision {
+		return
+	}
+	m.superseded[target] = max(m.superseded[target], revision)
+	if g := m.targets[target]; g != nil {
+		m.dropTarget(target, g)
+		m.order = slices.DeleteFunc(m.order, func(a netip.AddrPort) bool { return a == target })
+	}
+}
+
+// Known tells a successor what this host has learnt of a target that it manages
+// or used to manage.
+func (m *Manager) Known(target netip.AddrPort) (Known, bool) {
+	if g := m.targets[target]; g != nil && g.settled {
+		return Known{Target: target, Slots: g.warmth.Slots(), Incarnation: g.incarnation}, true
 	}
-	return known
+	k, ok := m.retired[target]
+	return k, ok
 }
--- a/core/permit/message.go
+++ b/core/permit/message.go
@@ -55,6 +55,14 @@
 	Incarnation model.Incarnation // of the target, when it had these slots
 }
 
+// Claim is a manager's taking over of a target, numbered among its claims. A
+// holder that accepts it says what it holds on the target, and takes permits
+// for it from nobody else until it reads a newer list.
+type Claim struct {
+	Target netip.AddrPort
+	Number uint64
+}
+
 // FromHolder is a message from a holder to a manager.
 type FromHolder struct {
 	Incarnation model.Incarnation // of the holder
@@ -67,7 +75,7 @@
 	Withdrawals []Withdrawal      `json:",omitempty"`
 	Releases    []Release         `json:",omitempty"`
 	Holdings    []Holding         `json:",omitempty"`
-	Answer      uint64            `json:",omitempty"` // the query that this message answers
+	Accepted    []Claim           `json:",omitempty"` // claims that this holder accepts
 	Known       []Known           `json:",omitempty"`
 }
 
@@ -102,8 +110,7 @@
 	Seq         uint64            // counts this manager's messages to this holder
 	Echo        time.Duration     // the newest Sent that the manager has handled
 	Resync      bool              `json:",omitempty"` // asks for a full statement
-	Query       uint64            `json:",omitempty"` // numbers a take-over query
-	Taken       []netip.AddrPort  `json:",omitempty"` // targets that the query is about
+	Claims      []Claim           `json:",omitempty"` // targets that the manager takes over
 	Grants      []Grant           `json:",omitempty"`
 	Notices     []Notice          `json:",omitempty"`
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -366,8 +366,8 @@
 }
 
 // Receive handles a manager's message.
-func (s *Scheduler) Receive(now time.Time, manager netip.AddrPort, in permit.FromManager, known func([]netip.AddrPort) []permit.Known) {
-	s.Apply(now, s.holder.Receive(manager, in, known))
+func (s *Scheduler) Receive(now time.Time, manager netip.AddrPort, in permit.FromManager, local permit.Local) {
+	s.Apply(now, s.holder.Receive(manager, in, local))
 }
 
 // Finished takes in how a started request ended.
--- a/io/loop/docs.go
+++ b/io/loop/docs.go
@@ -116,7 +116,7 @@
 // FromManager implements peers.Handler.
 func (l *Loop) FromManager(peer netip.AddrPort, m permit.FromManager) {
 	_ = l.post(context.Background(), func(now time.Time) {
-		l.sched.Receive(now, peer, m, l.manager.Known)
+		l.sched.Receive(now, peer, m, l.manager)
 	})
 }
 
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -29,6 +29,8 @@
 	viewPeriod = 100 * time.Millisecond // between looks at who is alive
 	eventRing  = 8192
 	batch      = 64 // events handled before messages go out
+	// pauseLength is the gap between two ticks that counts as a pause.
+	pauseLength = 500 * time.Millisecond
 )
 
 // Mesh carries messages to peers.
@@ -87,6 +89,7 @@
 	list     *model.HostList
 	alive    map[netip.AddrPort]bool
 	viewedAt time.Time
+	ranAt    time.Time // when the goroutine last ran
 	nextID   model.RequestID
 	serial   uint64
 	peersMet bool
@@ -168,15 +171,28 @@
 			return
 		case e := <-l.events.Items():
 			now := l.settings.Now()
+			l.wake(now)
 			e(now)
 			l.drain(now)
 		case <-ticker.C:
-			l.tick(l.settings.Now())
+			now := l.settings.Now()
+			l.wake(now)
+			l.tick(now)
 		}
 		l.pump(l.settings.Now())
 	}
 }
 
+// wake looks at who is alive before anything else when the process has not run
+// for a while, so that a process that was paused does not act on an old view.
+func (l *Loop) wake(now time.Time) {
+	if !l.ranAt.IsZero() && now.Sub(l.ranAt) > pauseLength {
+		l.settings.Log.Event("warn", "process was paused", "Length", now.Sub(l.ranAt))
+		l.watchMembers(now)
+	}
+	l.ranAt = now
+}
+
 // drain handles the events that are waiting already, up to a bound.
 func (l *Loop) drain(now time.Time) {
 	for range batch {
@@ -233,7 +249,7 @@
 func (l *Loop) sendManager(now time.Time) (local bool) {
 	for _, m := range l.manager.Flush() {
 		if m.Holder == l.settings.Self {
-			l.sched.Receive(now, l.settings.Self, m.Message, l.manager.Known)
+			l.sched.Receive(now, l.settings.Self, m.Message, l.manager)
 			local = true
 		} else {
 			l.mesh.Manager(m.Holder, m.Message)
@@ -315,8 +331,8 @@
 
 // Reported takes in a target's own account: its incarnation and its load.
 func (l *Loop) Reported(target netip.AddrPort, incarnation model.Incarnation, load int) {
-	_ = l.post(context.Background(), func(time.Time) {
-		l.manager.Report(target, incarnation)
+	_ = l.post(context.Background(), func(now time.Time) {
+		l.manager.Report(now, target, incarnation, load)
 		l.sched.Reported(target, load)
 	})
 }
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -104,8 +104,9 @@
 	ctx      context.Context
 
 	mu       sync.Mutex
-	links    map[netip.AddrPort]*link  // guarded by mu
-	incoming map[*jsonrpc2.Conn]string // guarded by mu
+	links    map[netip.AddrPort]*link    // guarded by mu
+	incoming map[*jsonrpc2.Conn]string   // guarded by mu
+	sessions map[netip.AddrPort]*session // guarded by mu; the newest by peer
 }
 
 // notice is one message to be sent.
@@ -132,6 +133,7 @@
 		settings: s, handler: h, ctx: ctx,
 		links:    map[netip.AddrPort]*link{},
 		incoming: map[*jsonrpc2.Conn]string{},
+		sessions: map[netip.AddrPort]*session{},
 	}
 	var running sync.WaitGroup
 	running.Go(func() { m.accept() })
--- a/io/peers/session.go
+++ b/io/peers/session.go
@@ -49,6 +49,9 @@
 	if !s.peer.IsValid() {
 		return nil, errors.Errorf("%s before %s", r.Method, methodHello)
 	}
+	if !s.mesh.current(s) {
+		return nil, errors.Errorf("a newer connection of %s has taken over", s.peer)
+	}
 	h := s.mesh.handler
 	switch r.Method {
 	case methodHolder:
@@ -99,9 +102,24 @@
 	}
 	s.peer = hello.From
 	s.expire.Stop()
+	s.mesh.replace(s)
 	return nil
 }
 
+// replace makes a session the one whose messages count for its peer. Messages
+// of an earlier one may still be in buffers, even of an earlier process.
+func (m *Mesh) replace(s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sessions[s.peer] = s
+}
+
+func (m *Mesh) current(s *session) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sessions[s.peer] == s
+}
+
 // decode reads one message.
 func decode[T any](params json.RawMessage) (T, error) {
 	var m T
--- a/io/reach/meter.go
+++ b/io/reach/meter.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"strconv"
 	"time"
+
+	"yuccadoor/core/limit"
 )
 
 // meter measures an answer as it passes.
@@ -15,13 +17,9 @@
 	first  time.Duration // from sending to the first byte
 	last   time.Duration
 	tail   []byte // last bytes seen
-	usage  int    // tokens of a whole answer
 }
 
-var (
-	eventEnd   = []byte("\n\n")
-	usageField = []byte(`"completion_tokens":`)
-)
+var eventEnd = []byte("\n\n")
 
 func (m *meter) count(p []byte) {
 	m.last = time.Since(m.begun)
@@ -31,8 +29,6 @@
 	m.bytes += int64(len(p))
 	if m.stream {
 		m.events += bytes.Count(p, eventEnd)
-	} else if i := bytes.LastIndex(p, usageField); i >= 0 {
-		m.usage = leadingInt(p[i+len(usageField):])
 	}
 	m.tail = append(m.tail, p...)
 	if over := len(m.tail) - tailBytes; over > 0 {
@@ -40,35 +36,22 @@
 	}
 }
 
-func leadingInt(p []byte) int {
-	p = bytes.TrimLeft(p, " ")
-	end := 0
-	for end < len(p) && p[end] >= '0' && p[end] <= '9' {
-		end++
-	}
-	n, err := strconv.Atoi(string(p[:end]))
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
 func (m *meter) terminated() bool {
 	return bytes.Contains(m.tail, []byte(streamEnd))
 }
 
 func (m *meter) offset() string { return strconv.FormatInt(m.bytes, 10) }
 
-// pace is the time for one token where tokens can be counted, or for the whole
-// call.
-func (m *meter) pace() time.Duration {
+// result is the pace of a completed answer: of its tokens where they came one
+// by one, or else of the whole call.
+func (m *meter) result() limit.Result {
+	r := limit.Result{Kind: limit.Completed}
 	switch {
 	case m.stream && m.events > 1:
-		return (m.last - m.first) / time.Duration(m.events-1)
-	case m.stream:
-		return 0
-	case m.usage > 0:
-		return m.last / time.Duration(m.usage)
+		r.Units = m.events - 1
+		r.Pace = (m.last - m.first) / time.Duration(r.Units)
+	case !m.stream:
+		r.Pace = m.last
 	}
-	return m.last
+	return r
 }
--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -279,11 +279,11 @@
 			Err: errors.New("the stream ended without its terminator"),
 		}
 	}
-	kind := limit.Completed
+	result := a.meter.result()
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		kind = limit.Overloaded
+		result = limit.Result{Kind: limit.Overloaded}
 	}
-	return Report{Sent: true, Complete: true, Result: limit.Result{Kind: kind, Pace: a.meter.pace()}}
+	return Report{Sent: true, Complete: true, Result: result}
 }
 
 // resume asks the same target for the rest of a stream, on a fresh connection.
