--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -18,6 +18,8 @@
 	maxPatience     = 24 * time.Hour
 	defaultDeadline = 60 * time.Second
 	defaultSilence  = 10 * time.Second
+	defaultResults  = 8
+	maxResults      = 1_000_000
 	digestBytes     = 32
 )
 
@@ -136,6 +138,12 @@
 	}
 	c.slots(s.Cold.Slots, path+".Cold")
 	c.slots(s.Warm.Slots, path+".Warm")
+	if s.Cold.Results == 0 {
+		s.Cold.Results = defaultResults
+	}
+	if s.Cold.Results < 0 || s.Cold.Results > maxResults {
+		c.add(path+".Cold.Results", "expected 1 to %d Results, found %d", maxResults, s.Cold.Results)
+	}
 	if s.Warm.Slots < s.Cold.Slots {
 		c.add(path+".Warm", "a warm target bears %d, less than a cold one's %d", s.Warm.Slots, s.Cold.Slots)
 	}
--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -60,7 +60,7 @@
 	Models        []string
 	NonIdempotent []string      // "METHOD /path" of calls that run at most once
 	ChecksFencing bool          // whether its targets refuse an old fencing number
-	Cold          CapacityText  // what a target that has just started bears
+	Cold          ColdText      // what a target that has just started bears
 	Warm          CapacityText  // what a warmed target bears
 	Deadline      time.Duration // default patience of a request
 	Silence       time.Duration // longest wait for progress on a running answer
@@ -72,6 +72,14 @@
 	Slots int
 }
 
+// ColdText is what a cold target bears, and how it warms: after Results good
+// results in a row it bears one request more with each further one, up to the
+// warm limit.
+type ColdText struct {
+	Slots   int
+	Results int // default 8
+}
+
 // ObjectiveText is a service-level objective.
 type ObjectiveText struct {
 	FirstToken    time.Duration
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -44,11 +44,12 @@
 
 // Warmth is the present limit of one target. The zero value is not usable.
 type Warmth struct {
-	cold, warm int
-	slots      int
-	exact      usual
-	rough      usual
-	window     []float64 // last rough paces, seconds
+	bounds Bounds
+	slots  int
+	good   int // results since the target was cold, until it warms
+	exact  usual
+	rough  usual
+	window []float64 // last rough paces, seconds
 }
 
 // usual is a running average of paces in seconds.
@@ -71,29 +72,40 @@
 	return u.samples >= minimumSamples && pace > factor*u.pace
 }
 
+// Bounds are what a target bears: Cold requests until it has given Results good
+// results, then one more with each, up to Warm.
+type Bounds struct {
+	Cold    int
+	Results int
+	Warm    int
+}
+
 // NewWarmth returns the limit of a target that has just started.
-func NewWarmth(cold, warm int) *Warmth {
-	return &Warmth{cold: cold, warm: warm, slots: cold}
+func NewWarmth(b Bounds) *Warmth {
+	return &Warmth{bounds: b, slots: b.Cold}
 }
 
 // Slots is the number of requests that the target may run now.
 func (w *Warmth) Slots() int { return w.slots }
 
 // Cold reports whether the target is at its cold limit.
-func (w *Warmth) Cold() bool { return w.slots <= w.cold }
+func (w *Warmth) Cold() bool { return w.slots <= w.bounds.Cold }
 
 // Configure changes the bounds. The present limit is kept within them.
-func (w *Warmth) Configure(cold, warm int) {
-	w.cold, w.warm = cold, warm
-	w.slots = min(max(w.slots, cold), warm)
+func (w *Warmth) Configure(b Bounds) {
+	w.bounds = b
+	w.slots = min(max(w.slots, b.Cold), b.Warm)
 }
 
 // Reset makes the target cold at once.
-func (w *Warmth) Reset() { w.slots = w.cold }
+func (w *Warmth) Reset() {
+	w.slots = w.bounds.Cold
+	w.good = 0
+}
 
 // Restore takes over a limit that another host had learnt.
 func (w *Warmth) Restore(slots int) {
-	w.slots = min(max(slots, w.cold), w.warm)
+	w.slots = min(max(slots, w.bounds.Cold), w.bounds.Warm)
 }
 
 // Observe learns from a result and reports whether the target turned cold.
@@ -124,11 +136,18 @@
 		average.learn(pace)
 	}
 	if pace <= 0 || !average.exceeds(pace, slowFactor) {
-		w.slots = min(w.slots+1, w.warm)
+		w.warmUp()
 	}
 	return false
 }
 
+func (w *Warmth) warmUp() {
+	w.good++
+	if w.good >= w.bounds.Results || !w.Cold() {
+		w.slots = min(w.slots+1, w.bounds.Warm)
+	}
+}
+
 // judged gives the pace to judge a result by and the average to hold it
 // against. One call's whole time says little, since calls differ a hundredfold;
 // the median of the last few says whether the target has changed.
--- a/core/permit/holder.go
+++ b/core/permit/holder.go
@@ -85,6 +85,7 @@
 	asks        map[askKey]asked
 	permits     map[askKey]held
 	fences      map[netip.AddrPort]fence
+	accepted    map[netip.AddrPort]model.Revision // highest of any claim accepted, by target
 }
 
 type asked struct {
@@ -103,6 +104,7 @@
 		asks:        map[askKey]asked{},
 		permits:     map[askKey]held{},
 		fences:      map[netip.AddrPort]fence{},
+		accepted:    map[netip.AddrPort]model.Revision{},
 	}
 }
 
@@ -274,9 +276,10 @@
 // accepted a claim by one: then the manager hears nothing, and claims again when
 // it has read that list too.
 func (h *Holder) claimed(manager netip.AddrPort, l *link, revision model.Revision, c Claim, local Local) {
-	if revision < h.view.List.Revision || revision < h.fences[c.Target].revision {
+	if revision < h.view.List.Revision || revision < h.accepted[c.Target] {
 		return
 	}
+	h.accepted[c.Target] = revision
 	h.fences[c.Target] = fence{revision: revision, manager: manager}
 	l.pending = true
 	l.out.Accepted = append(l.out.Accepted, c)
@@ -300,7 +303,8 @@
 	a, wanted := h.asks[k]
 	h.forget(k)
 	current, _ := h.manager(g.Target)
-	if !wanted || a.manager != manager || current != manager {
+	stale := in.Fence < h.accepted[g.Target]
+	if !wanted || stale || a.manager != manager || current != manager {
 		h.giveBack(manager, k, limit.Result{Kind: limit.Unused})
 		return events
 	}
--- a/core/permit/manager.go
+++ b/core/permit/manager.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"yuccadoor/core/conf"
 	"yuccadoor/core/limit"
 	"yuccadoor/core/model"
 	"yuccadoor/core/queue"
@@ -129,7 +130,7 @@
 	if g == nil {
 		g = &managed{
 			target:  t,
-			warmth:  limit.NewWarmth(s.Cold.Slots, s.Warm.Slots),
+			warmth:  limit.NewWarmth(bounds(s)),
 			asks:    queue.New[holderKey, Ask](),
 			running: map[holderKey]outstanding{},
 			byWork:  map[string]int{},
@@ -141,7 +142,7 @@
 		return
 	}
 	g.target = t
-	g.warmth.Configure(s.Cold.Slots, s.Warm.Slots)
+	g.warmth.Configure(bounds(s))
 	if !m.view.Usable(t.Address) {
 		m.denyAll(g, Unusable)
 		return
@@ -151,6 +152,10 @@
 	}
 }
 
+func bounds(s *conf.Service) limit.Bounds {
+	return limit.Bounds{Cold: s.Cold.Slots, Results: s.Cold.Results, Warm: s.Warm.Slots}
+}
+
 // takeOver sends a claim to every host that may hold permits.
 func (m *Manager) takeOver(now time.Time, g *managed) {
 	m.claims++
--- a/core/permit/repair_test.go
+++ b/core/permit/repair_test.go
@@ -165,3 +165,22 @@
 	assert.Equal(t, len(events), 1)
 	assert.Assert(t, !p.now.Before(events[0].Expires))
 }
+
+// A grant made before another manager's claim was accepted arrived after a newer
+// list had made its sender manager again.
+func TestGrantOlderThanAnAcceptedClaimIsRefused(t *testing.T) {
+	p := newPair(t)
+	p.ask(1)
+	p.toManager()
+	late := p.manager.Flush()
+	other := FromManager{Incarnation: 9, Fence: 2, Seq: 1, Claims: []Claim{{Target: p.target, Number: 1}}}
+	p.holder.Receive(p.h, other, p.manager)
+	p.holder.Adopt(p.view(p.h, 3))
+	p.ask(1)
+	for _, out := range late {
+		if out.Holder == p.h {
+			assert.Equal(t, len(p.holder.Receive(p.m, out.Message, p.manager)), 0)
+		}
+	}
+	assert.Equal(t, p.holder.Permits(), 0)
+}
