--- a/core/member/member.go
+++ b/core/member/member.go
@@ -21,13 +21,16 @@
 	periodStep     = 100 * time.Millisecond
 	deadRounds     = 4 // periods for each doubling of the fleet
 	leastDoublings = 2
-	maxBeats       = 32 // beats in a message
+	strangerEvery  = 8   // exchanges to one with a host not believed alive
+	maxBeats       = 128 // beats in a message
+	countStep      = 100 * time.Millisecond
 )
 
-// Beat is a heartbeat counter of one host, named by its index in the list of
-// the message's ListRevision. Counters start at the host's start time in
-// milliseconds, so that a restarted host goes on above its former counter.
-type Beat [2]uint64
+// Beat is a heartbeat counter of one host: its index in the list of the
+// message's ListRevision, and how far its counter is behind the sender's. A
+// counter is the host's own clock in steps of 100 ms, advanced with each
+// message, so that a restarted host goes on above its former counter.
+type Beat [2]int64
 
 // Crash is a record of a request content that broke its target.
 type Crash struct {
@@ -42,32 +45,30 @@
 	Incarnation    model.Incarnation
 	ListRevision   model.Revision
 	ConfigRevision model.Revision
-	Count          uint64  // the sender's own counter
+	Count          int64   // the sender's own counter
 	Beats          []Beat  `json:",omitempty"`
 	Crashes        []Crash `json:",omitempty"`
 }
 
 type seen struct {
-	count uint64
+	count int64
 	at    time.Time // when the counter last advanced
 }
 
 // Members is one host's knowledge of the others. One goroutine owns it.
 type Members struct {
 	self   netip.AddrPort
-	count  uint64
+	count  int64
 	list   *model.HostList
 	index  map[netip.AddrPort]int
 	seen   map[netip.AddrPort]seen
 	random *rand.Rand
 }
 
-// New returns the knowledge of a host that has heard from nobody. start is the
-// wall-clock time of its start.
-func New(self netip.AddrPort, start time.Time, seed uint64) *Members {
+// New returns the knowledge of a host that has heard from nobody.
+func New(self netip.AddrPort, seed uint64) *Members {
 	return &Members{
 		self:   self,
-		count:  uint64(start.UnixMilli()),
 		list:   &model.HostList{},
 		index:  map[netip.AddrPort]int{},
 		seen:   map[netip.AddrPort]seen{},
@@ -116,7 +117,7 @@
 		}
 	}
 	from := alive
-	if len(alive) == 0 || (len(others) > 0 && m.random.IntN(2) == 0) {
+	if len(alive) == 0 || (len(others) > 0 && m.random.IntN(strangerEvery) == 0) {
 		from = others
 	}
 	if len(from) == 0 {
@@ -139,7 +140,7 @@
 
 // Message builds this host's part of an exchange and advances its counter.
 func (m *Members) Message(now time.Time) Exchange {
-	m.count++
+	m.count = max(m.count+1, now.UnixMilli()/countStep.Milliseconds())
 	return Exchange{
 		From:         m.self,
 		ListRevision: m.list.Revision,
@@ -148,21 +149,34 @@
 	}
 }
 
-// beats picks the counters to pass on, of hosts that are alive.
+// beats picks the counters to pass on: half of them the freshest, which still
+// spread, the rest at random, so that none is left out for long.
 func (m *Members) beats(now time.Time) []Beat {
-	var beats []Beat
+	var known []heard
 	for i, h := range m.list.Hosts {
-		s, ok := m.seen[h.Peer]
-		if ok && m.Alive(now, h.Peer) {
-			beats = append(beats, Beat{uint64(i), s.count})
+		if s, ok := m.seen[h.Peer]; ok && m.Alive(now, h.Peer) {
+			known = append(known, heard{index: i, seen: s})
 		}
 	}
-	m.random.Shuffle(len(beats), func(i, j int) { beats[i], beats[j] = beats[j], beats[i] })
-	beats = beats[:min(maxBeats, len(beats))]
-	slices.SortFunc(beats, func(a, b Beat) int { return int(a[0]) - int(b[0]) })
+	if len(known) > maxBeats {
+		slices.SortFunc(known, func(a, b heard) int { return b.at.Compare(a.at) })
+		rest := known[maxBeats/2:]
+		m.random.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+		known = known[:maxBeats]
+	}
+	beats := make([]Beat, 0, len(known))
+	for _, k := range known {
+		beats = append(beats, Beat{int64(k.index), m.count - k.count})
+	}
 	return beats
 }
 
+// heard is what is known of the host at an index of the list.
+type heard struct {
+	index int
+	seen
+}
+
 // Hear takes in a message. Beats are used only when both sides mean the same
 // list.
 func (m *Members) Hear(now time.Time, x Exchange) {
@@ -171,13 +185,13 @@
 		return
 	}
 	for _, b := range x.Beats {
-		if b[0] < uint64(len(m.list.Hosts)) {
-			m.advance(now, m.list.Hosts[b[0]].Peer, b[1])
+		if b[0] >= 0 && b[0] < int64(len(m.list.Hosts)) {
+			m.advance(now, m.list.Hosts[b[0]].Peer, x.Count-b[1])
 		}
 	}
 }
 
-func (m *Members) advance(now time.Time, host netip.AddrPort, count uint64) {
+func (m *Members) advance(now time.Time, host netip.AddrPort, count int64) {
 	_, listed := m.index[host]
 	if listed && host != m.self && count > m.seen[host].count {
 		m.seen[host] = seen{count: count, at: now}
--- a/core/permit/manager.go
+++ b/core/permit/manager.go
@@ -558,7 +558,8 @@
 // the zone are out of reach, another manager may be granting for the same
 // target: then the parts of a cold target's limit must not add up to more than
 // the whole. While hosts have not said what they hold, all that the target
-// reports counts as theirs.
+// reports counts as theirs, and only this host's part of the rest is granted,
+// since another manager may have read the same report.
 func (m *Manager) slots(g *managed) int {
 	whole := g.warmth.Slots()
 	slots := whole
@@ -574,7 +575,7 @@
 	if g.reported == unreported {
 		return 0
 	}
-	return min(slots, whole-g.reported)
+	return min(slots, m.view.Scale(g.target.Address, max(0, whole-g.reported)))
 }
 
 // use is a workspace's running work on a target divided by its share.
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -116,7 +116,7 @@
 		done:     make(chan struct{}),
 		sched:    sched.New(sched.Settings{MaxWaiting: s.MaxWaiting, Policy: s.Policy, Seed: s.Seed}, holder),
 		manager:  permit.NewManager(s.Incarnation),
-		members:  member.New(s.Self, start, s.Seed),
+		members:  member.New(s.Self, s.Seed),
 		keys:     once.NewTable(s.Self, s.Incarnation),
 		crashes:  crash.NewRecords(),
 		verdicts: map[model.RequestID]chan Verdict{},
--- /dev/null
+++ b/io/reach/reach_test.go
@@ -0,0 +1,223 @@
+package reach
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"yuccadoor/core/limit"
+)
+
+// buffer is a sink that keeps the answer.
+type buffer struct {
+	status int
+	body   strings.Builder
+}
+
+func (b *buffer) Begin(status int, _ http.Header, _ bool) error {
+	b.status = status
+	return nil
+}
+
+func (b *buffer) Write(p []byte) error {
+	b.body.Write(p)
+	return nil
+}
+
+// rawTarget is a server that answers each request with what script returns.
+type rawTarget struct {
+	at       netip.AddrPort
+	mu       sync.Mutex
+	requests []string // guarded by mu
+}
+
+// startRaw starts a raw target. script writes the answer to the n-th request
+// and reports whether the connection stays open.
+func startRaw(t *testing.T, script func(n int, path string, conn net.Conn) bool) *rawTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	r := &rawTarget{at: netip.MustParseAddrPort(l.Addr().String())}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.serve(conn, script)
+		}
+	}()
+	return r
+}
+
+func (r *rawTarget) serve(conn net.Conn, script func(n int, path string, conn net.Conn) bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if request.URL.Path == loadPath {
+			return // a look at whether the process still lives
+		}
+		r.mu.Lock()
+		r.requests = append(r.requests, request.URL.Path)
+		n := len(r.requests)
+		r.mu.Unlock()
+		if !script(n, request.URL.Path, conn) {
+			return
+		}
+	}
+}
+
+func (r *rawTarget) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.requests)
+}
+
+func whole(conn net.Conn, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func newSender(t *testing.T) *Sender {
+	t.Helper()
+	s, cleanup := New(nil, time.Now)
+	t.Cleanup(cleanup)
+	return s
+}
+
+func (r *rawTarget) call(path string) *Call {
+	return &Call{
+		Target: r.at, Method: http.MethodPost, Path: path, Header: http.Header{}, Body: []byte("x"),
+		Expires: time.Now().Add(time.Minute), Silence: 2 * time.Second,
+	}
+}
+
+// A target that sends more than one answer to a request leaves bytes on its
+// connection; the next caller must not get them.
+func TestLateAnswerNeverReachesAnotherCaller(t *testing.T) {
+	target := startRaw(t, func(n int, path string, conn net.Conn) bool {
+		whole(conn, path)
+		if n == 1 {
+			whole(conn, "late")
+		}
+		return true
+	})
+	s := newSender(t)
+	for i := range 5 {
+		var b buffer
+		path := fmt.Sprintf("/%d", i)
+		report := s.Send(context.Background(), target.call(path), &b)
+		assert.NilError(t, report.Err)
+		assert.Equal(t, b.body.String(), path)
+		if i == 0 {
+			time.Sleep(50 * time.Millisecond) // let the late answer arrive
+		}
+	}
+}
+
+func TestTruncatedAnswersAreNeverComplete(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer string
+		engine bool
+	}{
+		{"short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", false},
+		{"chunk without end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false},
+		{"no head", "HTTP/1.1 200", false},
+		{"nothing", "", false},
+		{
+			"stream without terminator",
+			"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 9\r\n\r\ndata: x\n\n", true,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			target := startRaw(t, func(_ int, _ string, conn net.Conn) bool {
+				fmt.Fprint(conn, c.answer)
+				return false
+			})
+			call := target.call("/")
+			call.Engine = c.engine
+			report := newSender(t).Send(context.Background(), call, &buffer{})
+			assert.Assert(t, !report.Complete)
+			assert.Assert(t, report.Sent)
+			assert.Equal(t, report.Result.Kind, limit.Broken)
+			assert.Equal(t, target.count(), 1, "sent again")
+		})
+	}
+}
+
+func TestNotSentIsSaidOnlyWhenNothingWasWritten(t *testing.T) {
+	target := startRaw(t, func(_ int, path string, conn net.Conn) bool {
+		whole(conn, path)
+		return true
+	})
+	nobody := netip.MustParseAddrPort("127.0.0.1:1")
+	expired := target.call("/")
+	expired.Expires = time.Now().Add(-time.Millisecond)
+	unreachable := target.call("/")
+	unreachable.Target = nobody
+	cases := []struct {
+		name string
+		call *Call
+		kind limit.Kind
+	}{
+		{"permit expired", expired, limit.Unused},
+		{"nothing listens", unreachable, limit.NoConnect},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			report := newSender(t).Send(context.Background(), c.call, &buffer{})
+			assert.Assert(t, !report.Sent)
+			assert.Equal(t, report.Result.Kind, c.kind)
+		})
+	}
+	assert.Equal(t, target.count(), 0)
+}
+
+// An idle connection that the target has closed is noticed before it is used,
+// so that the request is not lost on it.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	target := startRaw(t, func(_ int, path string, conn net.Conn) bool {
+		whole(conn, path)
+		return false
+	})
+	s := newSender(t)
+	for i := range 5 {
+		report := s.Send(context.Background(), target.call("/"), &buffer{})
+		assert.NilError(t, report.Err)
+		assert.Equal(t, target.count(), i+1)
+		time.Sleep(10 * time.Millisecond) // let the close arrive
+	}
+}
+
+func TestCallerWhoLeavesEndsTheCall(t *testing.T) {
+	gone := make(chan struct{})
+	target := startRaw(t, func(_ int, _ string, conn net.Conn) bool {
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
+		one := make([]byte, 1)
+		_, _ = conn.Read(one) // ends when the sender closes
+		close(gone)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	call := target.call("/")
+	call.Silence = time.Minute
+	report := newSender(t).Send(ctx, call, &buffer{})
+	assert.Equal(t, report.Result.Kind, limit.Cancelled)
+	<-gone
+}
