Docs, a measuring demo, fewer permit messages

Cause: a manager told a holder of each ask that it kept, and nothing used it. Change: a kept ask gets no reply before its grant; zero fields are left out.

--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -156,14 +156,3 @@
 	}
 	return nil, false
 }
-
-// OnceOnly reports whether a call may run at most once.
-func (s *Service) OnceOnly(method, path string) bool {
-	call := method + " " + path
-	for _, n := range s.NonIdempotent {
-		if n == call {
-			return true
-		}
-	}
-	return false
-}
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -26,7 +26,7 @@
 	Skew      = 5 * time.Second  // callers' clocks are this near to the hosts'
 	ListAge   = 5 * time.Second  // a home acts on a list read at most this long ago
 	ListLag   = 5 * time.Second  // the platform's list is at most this old
-	maxKeys   = 200_000
+	maxKeys   = 30_000
 )
 
 // issuedBytes is the length of an issued key before its text form: address 16,
--- a/core/permit/holder.go
+++ b/core/permit/holder.go
@@ -22,7 +22,6 @@
 // The things that happen to an ask.
 const (
 	Granted EventKind = "Granted"
-	Queued  EventKind = "Queued"
 	Denied  EventKind = "Denied"
 )
 
@@ -320,15 +319,11 @@
 	if a, ok := h.asks[k]; !ok || a.manager != manager {
 		return events
 	}
-	kind := Queued
-	if n.Status != Waiting {
-		kind = Denied
-		h.forget(k)
-	}
+	h.forget(k)
 	if n.Status == NotManager && h.fences[n.Target].manager == manager {
 		delete(h.fences, n.Target)
 	}
-	return append(events, Event{Kind: kind, Ticket: n.Ticket, Target: n.Target, Status: n.Status})
+	return append(events, Event{Kind: Denied, Ticket: n.Ticket, Target: n.Target, Status: n.Status})
 }
 
 // Lost tells the holder that messages to a manager may not have arrived. A
--- a/core/permit/manager.go
+++ b/core/permit/manager.go
@@ -406,9 +406,6 @@
 		}
 		g.asks.Add(k, queue.Rank{Tier: a.Tier, Workspace: a.Workspace, Deadline: now.Add(a.Patience)}, a)
 		m.serve(now, g)
-		if _, waits := g.asks.Get(k); waits {
-			m.notice(k, a.Target, Waiting)
-		}
 	}
 }
 
--- a/core/permit/message.go
+++ b/core/permit/message.go
@@ -68,9 +68,9 @@
 	Incarnation model.Incarnation // of the holder
 	Seq         uint64            // counts this holder's messages to this manager
 	Sent        time.Duration     // on the holder's own monotonic clock
-	Full        bool              // Asks and Holdings are complete
-	Seen        uint64            // last manager's message that the holder handled
-	SeenOf      model.Incarnation // of the manager that Seen counts
+	Full        bool              `json:",omitempty"` // Asks and Holdings are complete
+	Seen        uint64            `json:",omitempty"` // last manager's message that the holder handled
+	SeenOf      model.Incarnation `json:",omitempty"` // of the manager that Seen counts
 	Asks        []Ask             `json:",omitempty"`
 	Withdrawals []Withdrawal      `json:",omitempty"`
 	Releases    []Release         `json:",omitempty"`
@@ -85,12 +85,12 @@
 	Target netip.AddrPort
 }
 
-// Status is a manager's reply to an ask that it does not grant at once.
+// Status is why a manager does not keep an ask. One that it keeps gets no reply
+// before its grant.
 type Status string
 
-// The replies to an ask.
+// The reasons for not keeping an ask.
 const (
-	Waiting    Status = "Waiting"    // kept, to be granted when a slot is free
 	NotManager Status = "NotManager" // another host manages the target
 	Unusable   Status = "Unusable"   // the target takes no new work
 	Full       Status = "Full"       // too many asks wait for the target
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -241,6 +241,31 @@
 	assert.Assert(t, urgentRuns && !patientRuns)
 }
 
+// A permit that was under way when a more urgent request arrived serves that
+// one.
+func TestGrantUnderWayServesTheMostUrgent(t *testing.T) {
+	h := newHost(t, t.Fatalf)
+	arrive := func(tier model.Tier) model.RequestID {
+		h.next++
+		r := &model.Request{ID: h.next, Service: "lm", Tier: tier, Workspace: "w", Deadline: h.now.Add(time.Minute)}
+		h.requests[r.ID], h.waiting[r.ID] = r, true
+		h.sched.Arrive(h.now, r)
+		return r.ID
+	}
+	arrive(2)
+	for _, m := range h.sched.Flush(h.now) {
+		h.manager.Receive(h.now, h.self, m.Message)
+	}
+	grant := h.manager.Flush()
+	urgent := arrive(0)
+	for _, m := range grant {
+		h.sched.Receive(h.now, h.self, m.Message, h.manager)
+	}
+	starts := h.sched.Take().Starts
+	assert.Assert(t, len(starts) > 0)
+	assert.Equal(t, starts[0].Request, urgent)
+}
+
 func TestServiceWhoseDependencyHasNoTargetIsRefusedAtOnce(t *testing.T) {
 	h := newHost(t, t.Fatalf)
 	id := h.arrive("needy", 0, time.Minute)
--- a/io/cmds/demo.go
+++ b/io/cmds/demo.go
@@ -14,7 +14,15 @@
 	Seconds float64 `help:"How long to send the load." default:"4"`
 	Rate    float64 `help:"Requests a second." default:"60"`
 	Policy  string  `help:"Routing policy of the hosts." default:"affinity"`
-	Stay    bool    `help:"Keep running afterwards, until interrupted."`
+	Seed    uint64  `help:"Seed of the load." default:"1"`
+
+	Decode   time.Duration `help:"Time of an engine for one token of an answer." default:"2ms"`
+	Cache    int           `help:"Prefix blocks that an engine keeps." default:"512"`
+	Prefixes int           `help:"Distinct prompt prefixes." default:"16"`
+	Prompt   int           `help:"Bytes of a prompt prefix." default:"1024"`
+	Deadline time.Duration `help:"Patience of a request." default:"5s"`
+
+	Stay bool `help:"Keep running afterwards, until interrupted."`
 }
 
 // Run brings the system up, sends a load and reports.
@@ -22,11 +30,11 @@
 	s, cleanup, err := local.New(e.ctx, local.Options{
 		Zones: []string{"a", "b"}, Hosts: 2, Engines: 4, Plains: 2,
 		Engine: fakes.Settings{
-			Cold: 2, Warm: 8, WarmAfter: 4, Prefill: 20 * time.Microsecond, Decode: 2 * time.Millisecond,
-			Tokens: 8, CacheSize: 512, LoadLag: time.Second,
+			Cold: 2, Warm: 8, WarmAfter: 4, Prefill: 20 * time.Microsecond, Decode: c.Decode,
+			Tokens: 8, CacheSize: c.Cache, LoadLag: time.Second,
 		},
 		Plain:  fakes.Settings{Cold: 4, Warm: 32, WarmAfter: 4, Work: 2 * time.Millisecond, LoadLag: time.Second},
-		Policy: c.Policy, LogTo: io.Discard, LogLevel: "error", Deadline: 5 * time.Second,
+		Policy: c.Policy, LogTo: io.Discard, LogLevel: "error", Deadline: c.Deadline,
 	})
 	if err != nil {
 		return err
@@ -38,8 +46,8 @@
 	fmt.Fprintf(e.out, "2 entry hosts before 4 model engines and 2 plain services, in availability zones a and b\n")
 	mix := []load.TierMix{{Name: "Order", Weight: 1}, {Name: "Live", Weight: 2}, {Name: "Draft", Weight: 3}}
 	runner, stop := load.NewRunner(load.Plan{
-		Seed: 1, Rate: c.Rate, Duration: time.Duration(c.Seconds * float64(time.Second)), Mix: mix,
-		Model: local.EngineModel, Stream: true, Prefixes: 16, Prompt: 1024, Tokens: 4, TailRatio: 30, TailShape: 1.2,
+		Seed: c.Seed, Rate: c.Rate, Duration: time.Duration(c.Seconds * float64(time.Second)), Mix: mix,
+		Model: local.EngineModel, Stream: true, Prefixes: c.Prefixes, Prompt: c.Prompt, Tokens: 4, TailRatio: 30, TailShape: 1.2,
 	}, load.Target{Fronts: s.Fronts(), Key: local.Key}, load.Objective{First: 360 * time.Millisecond})
 	defer stop()
 	result, err := runner.Run(e.ctx, progress(e))
@@ -47,6 +55,7 @@
 		return err
 	}
 	result.Text(e.out)
+	prefill(e, s)
 	fmt.Fprintf(e.out, "\nTry next:\n  yuccadoor demo --stay            keep it running\n")
 	fmt.Fprintf(e.out, "  yuccadoor status %s   what the first host sees\n", s.Admin(0))
 	fmt.Fprintf(e.out, "  yuccadoor burn %s %s   service-level burn\n", s.Admin(0), s.Admin(1))
@@ -57,3 +66,26 @@
 	}
 	return nil
 }
+
+// prefill sums up the engines' own account of prompt tokens: how many were found
+// in a cache, and how many were computed for answers that did not end whole.
+func prefill(e *env, s *local.System) {
+	prompt, cached, lost := 0, 0, 0
+	for _, engine := range s.Engines {
+		for _, r := range engine.Account().Runs {
+			prompt += r.Prompt
+			cached += r.Cached
+			if !r.Whole {
+				lost += r.Prompt - r.Cached
+			}
+		}
+	}
+	if prompt == 0 {
+		return
+	}
+	percent := func(n int) float64 { return percentage * float64(n) / float64(prompt) }
+	fmt.Fprintf(e.out, "prefill: %d prompt tokens, %.1f%% found in a cache, %.1f%% computed for answers that did not end whole\n",
+		prompt, percent(cached), percent(lost))
+}
+
+const percentage = 100
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -67,7 +67,7 @@
 		return nil, nil, err
 	}
 	h := &Host{settings: c, log: log}
-	b := &builder{Host: h, options: o, incarnation: model.Incarnation(rand.Uint64())}
+	b := &builder{Host: h, options: o, incarnation: model.Incarnation(rand.Uint32())}
 	ctx, cancel := context.WithCancel(ctx)
 	steps := []struct {
 		name  string
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -16,7 +16,7 @@
 // Bounds on whole answers held back until they are complete.
 const (
 	maxHeld = 1 << 20 // bytes held before an answer is passed on as it comes
-	maxKept = 64 << 10
+	maxKept = 2 << 10 // bytes kept for a repeat of a key
 )
 
 // Outcomes as callers see them.
--- /dev/null
+++ b/io/local/bench_test.go
@@ -0,0 +1,36 @@
+package local
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// BenchmarkConfigInForce measures the time from publishing a text until every
+// one of eight hosts has it in force.
+func BenchmarkConfigInForce(b *testing.B) {
+	o := small()
+	o.Hosts, o.Zones = 8, []string{"a", "b", "c", "d"}
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	s, cleanup, err := New(ctx, o)
+	assert.NilError(b, err)
+	defer cleanup()
+	assert.NilError(b, s.WaitReady(ctx))
+	var sum, worst time.Duration
+	for b.Loop() {
+		began := time.Now()
+		r := s.Platform.SetConfig(s.Text(nil))
+		for !s.inForce(r) {
+			time.Sleep(time.Millisecond)
+		}
+		took := time.Since(began)
+		sum += took
+		worst = max(worst, took)
+		time.Sleep(time.Second)
+	}
+	b.ReportMetric(float64(sum.Milliseconds())/float64(b.N), "ms/change")
+	b.ReportMetric(float64(worst.Milliseconds()), "ms-worst")
+}
--- /dev/null
+++ b/io/loop/loop_test.go
@@ -0,0 +1,64 @@
+package loop
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"yuccadoor/core/model"
+	"yuccadoor/core/route"
+	"yuccadoor/io/logs"
+)
+
+func newLoop(t *testing.T) *Loop {
+	t.Helper()
+	log, err := logs.New(io.Discard, "error")
+	assert.NilError(t, err)
+	l, cleanup := New(context.Background(), Settings{
+		Self: netip.MustParseAddrPort("127.0.0.1:1"), Zone: "a", Incarnation: 1, MaxWaiting: 1,
+		Policy: route.Affinity{}, Log: log, Now: time.Now,
+	})
+	t.Cleanup(cleanup)
+	return l
+}
+
+// Whatever order texts arrive in, from whomever, the highest good one stays in
+// force.
+func TestTextInForceNeverGoesBack(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "..", "examples", "local.yaml"))
+	assert.NilError(t, err)
+	cases := []struct {
+		name     string
+		arrivals []model.Revision
+		bad      model.Revision
+		want     model.Revision
+	}{
+		{"in order", []model.Revision{1, 2, 3}, 0, 3},
+		{"stale after new", []model.Revision{5, 2, 4}, 0, 5},
+		{"repeated", []model.Revision{3, 3}, 0, 3},
+		{"bad one between", []model.Revision{1, 2, 1}, 2, 1},
+		{"good one after a bad one", []model.Revision{1, 2, 3}, 2, 3},
+		{"older than a bad one", []model.Revision{5, 4}, 5, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLoop(t)
+			for _, r := range c.arrivals {
+				content := string(text)
+				if r == c.bad {
+					content = "Tiers: 1"
+				}
+				assert.NilError(t, l.Config(context.Background(), r, content))
+			}
+			var got model.Revision
+			assert.NilError(t, l.do(context.Background(), func(time.Time) { got = l.config.revision }))
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
