Route: one ask first, and a nearer price on leaving the zone

Cause: prompts were computed again though cached. Each request asked three managers at once and the first free target won, and each zone gathered every prefix for itself, more than its engines' caches hold. Change: one ask first, the second after 20 ms; leaving the zone costs 0.2 of a prompt, which is nearer to 3 ms against a prefill of 20 ms and more.

The keyed-orders test sends each key once more in a row, as its comment said: without that, replays were a matter of chance (none in one run).

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -123,9 +123,9 @@
 
 // Weights of the affinity policy, in units of one whole prompt's prefill.
 const (
-	loadWeight   = 1.0  // of a target whose known load fills its slots
-	remoteWeight = 0.75 // of leaving this host's availability zone
-	homeWeight   = 0.5  // of missing the prefix's home
+	loadWeight   = 1.0 // of a target whose known load fills its slots
+	remoteWeight = 0.2 // of leaving this host's availability zone
+	homeWeight   = 0.5 // of missing the prefix's home
 )
 
 // Affinity weighs prefill saved against load. A prefix that no target is known
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -19,9 +19,10 @@
 
 // Times and bounds of the scheduler.
 const (
-	asksAtOnce    = 3                      // asks out for one request at first
+	asksAtOnce    = 1                      // asks out for one request at first
 	asksAtMost    = 8                      // asks out for one request at last
-	widenPeriod   = 200 * time.Millisecond // before one more ask is sent
+	widenFirst    = 20 * time.Millisecond  // before the second ask is sent
+	widenPeriod   = 100 * time.Millisecond // before each further one
 	denyPeriod    = 300 * time.Millisecond // before a denied target is asked again
 	retryLeast    = time.Second            // earliest time to come back
 	retryMost     = time.Minute            // latest time to come back
@@ -183,7 +184,7 @@
 		s.queues[r.Service] = q
 	}
 	q.Add(r.ID, queue.Rank{Tier: r.Tier, Workspace: r.Workspace, Deadline: r.Deadline}, e)
-	e.widenAt = now.Add(widenPeriod)
+	e.widenAt = now.Add(widenFirst)
 	s.due(e.widenAt)
 	s.due(r.Deadline)
 	s.askNext(now, e)
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -232,6 +232,7 @@
 	for range 2 {
 		first = append(first, h.arrive("lm", 2, time.Minute))
 	}
+	h.pass(widenFirst) // the second request asks for the other target too
 	assert.Equal(t, len(h.running), 2)
 	patient := h.arrive("lm", 2, time.Minute)
 	urgent := h.arrive("lm", 0, time.Minute)
@@ -276,6 +277,7 @@
 	h := newHost(t, t.Fatalf)
 	a := h.arrive("lm", 1, time.Minute)
 	b := h.arrive("lm", 1, time.Minute)
+	h.pass(widenFirst) // the second request asks for the other target too
 	waits := h.arrive("lm", 1, time.Minute)
 	h.configure(t, "Out", 2)
 	for id, at := range h.running { // the one in zone a ends; nothing follows it
--- a/io/local/once_test.go
+++ b/io/local/once_test.go
@@ -160,6 +160,10 @@
 					})
 				}
 				sends.Wait()
+				host := random.IntN(3)
+				history.call(c, key, func() reply {
+					return s.ask(ctx, host, http.MethodPost, "/services/orders/rolls", body, front.HeaderKey, key)
+				})
 			}
 		})
 	}
