Permits: asks that can still meet their objective go before late ones

Cause: at twice capacity no Live or Draft request met its objective (first byte within 360 ms): earliest deadline first serves each request when it is about to be given up on, so all start too late. Ruled out: a shorter deadline (it would refuse work that callers wait for), and refusing late requests at once (patient callers want them). Change: each tier has two ranks at the manager; an ask moves to the second when a start can no longer meet the objective, three quarters of it being for waiting.

--- a/core/permit/holder.go
+++ b/core/permit/holder.go
@@ -91,8 +91,22 @@
 	manager  netip.AddrPort
 	ask      Ask
 	deadline time.Time
+	useful   time.Time
 }
 
+// at returns the ask with its times counted from now.
+func (a asked) at(now time.Time) Ask {
+	fresh := a.ask
+	fresh.Patience = a.deadline.Sub(now)
+	if !a.useful.IsZero() {
+		fresh.Useful = max(a.useful.Sub(now), late)
+	}
+	return fresh
+}
+
+// late stands for a start that already comes too late for the objective.
+const late = time.Nanosecond
+
 // NewHolder returns a holder without permits. epoch carries the monotonic
 // reading against which messages are stamped.
 func NewHolder(incarnation model.Incarnation, epoch time.Time) *Holder {
@@ -179,16 +193,15 @@
 	if _, again := h.asks[k]; again {
 		return true
 	}
-	a := asked{manager: m, deadline: r.Deadline, ask: Ask{
+	a := asked{manager: m, deadline: r.Deadline, useful: r.Useful, ask: Ask{
 		Ticket: ticket, Target: target, Workspace: r.Workspace, Tier: r.Tier,
-		Patience: r.Deadline.Sub(now),
 	}}
 	h.asks[k] = a
 	l := h.link(m)
 	l.asks++
 	l.pending = true
 	if !l.full {
-		l.out.Asks = append(l.out.Asks, a.ask)
+		l.out.Asks = append(l.out.Asks, a.at(now))
 	}
 	return true
 }
@@ -377,9 +390,7 @@
 	}
 	for _, a := range h.asks {
 		if a.manager == manager {
-			fresh := a.ask
-			fresh.Patience = a.deadline.Sub(now)
-			msg.Asks = append(msg.Asks, fresh)
+			msg.Asks = append(msg.Asks, a.at(now))
 		}
 	}
 	slices.SortFunc(msg.Holdings, func(a, b Holding) int { return int(int64(a.Ticket) - int64(b.Ticket)) })
--- a/core/permit/manager.go
+++ b/core/permit/manager.go
@@ -43,7 +43,7 @@
 type managed struct {
 	target      model.Target
 	warmth      *limit.Warmth
-	asks        *queue.Queue[holderKey, Ask]
+	asks        *queue.Queue[holderKey, waitingAsk]
 	running     map[holderKey]outstanding
 	byWork      map[string]int    // running, by workspace
 	era         uint64            // counts resets; results of an earlier era do not warm
@@ -131,7 +131,7 @@
 		g = &managed{
 			target:  t,
 			warmth:  limit.NewWarmth(bounds(s)),
-			asks:    queue.New[holderKey, Ask](),
+			asks:    queue.New[holderKey, waitingAsk](),
 			running: map[holderKey]outstanding{},
 			byWork:  map[string]int{},
 		}
@@ -207,7 +207,7 @@
 
 func (m *Manager) denyAll(g *managed, s Status) {
 	var keys []holderKey
-	g.asks.Each(func(k holderKey, _ Ask) bool {
+	g.asks.Each(func(k holderKey, _ waitingAsk) bool {
 		keys = append(keys, k)
 		return true
 	})
@@ -270,7 +270,7 @@
 func (m *Manager) dropAsks(holder netip.AddrPort) {
 	for _, g := range m.targets {
 		var keys []holderKey
-		g.asks.Each(func(k holderKey, _ Ask) bool {
+		g.asks.Each(func(k holderKey, _ waitingAsk) bool {
 			if k.holder == holder {
 				keys = append(keys, k)
 			}
@@ -404,7 +404,7 @@
 		if _, again := g.running[k]; again {
 			return // granted already; the grant is on its way
 		}
-		g.asks.Add(k, queue.Rank{Tier: a.Tier, Workspace: a.Workspace, Deadline: now.Add(a.Patience)}, a)
+		g.enqueue(now, k, a)
 		m.serve(now, g)
 	}
 }
@@ -527,6 +527,40 @@
 	}
 }
 
+// waitingAsk is an ask in a manager's queue.
+type waitingAsk struct {
+	Ask
+	deadline time.Time
+	useful   time.Time // zero when the request has no objective, or is late
+}
+
+// lanes is the number of ranks of each tier: asks that can still meet their
+// objective go before those of their tier that no longer can. Otherwise, under
+// more load than can be served, each request would start just too late.
+const lanes = 2
+
+func (g *managed) enqueue(now time.Time, k holderKey, a Ask) {
+	w := waitingAsk{Ask: a, deadline: now.Add(a.Patience)}
+	if a.Useful > late {
+		w.useful = now.Add(a.Useful)
+	}
+	rank := queue.Rank{Tier: a.Tier * lanes, Workspace: a.Workspace, Deadline: w.deadline}
+	switch {
+	case !w.useful.IsZero():
+		rank.Deadline = w.useful
+	case a.Useful > 0:
+		rank.Tier++
+	}
+	g.asks.Add(k, rank, w)
+}
+
+// demote moves an ask that has become too late for its objective.
+func (g *managed) demote(now time.Time, k holderKey, w waitingAsk) {
+	a := w.Ask
+	a.Patience, a.Useful = w.deadline.Sub(now), late
+	g.enqueue(now, k, a)
+}
+
 // serve grants permits for one target while it has free slots.
 func (m *Manager) serve(now time.Time, g *managed) {
 	if g.asks.Len() == 0 || !m.ready(now, g) {
@@ -534,12 +568,16 @@
 	}
 	slots := m.slots(g)
 	for len(g.running) < slots {
-		k, a, ok := g.asks.Best(func(w string) float64 { return m.use(g, w) })
+		k, w, ok := g.asks.Best(func(w string) float64 { return m.use(g, w) })
 		if !ok {
 			return
 		}
+		if !w.useful.IsZero() && !now.Before(w.useful) {
+			g.demote(now, k, w)
+			continue
+		}
 		g.asks.Remove(k)
-		m.grant(g, k, a)
+		m.grant(g, k, w.Ask)
 	}
 }
 
--- a/core/permit/message.go
+++ b/core/permit/message.go
@@ -26,6 +26,7 @@
 	Workspace string
 	Tier      model.Tier
 	Patience  time.Duration // until the request's deadline
+	Useful    time.Duration `json:",omitempty"` // until a start comes too late for the objective; 0 for none
 }
 
 // Withdrawal takes an ask back.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -46,6 +46,7 @@
 	blockBytes     = 256 // bytes of a prompt in a prefix block
 	bytesPerToken  = 4
 	maxBlocks      = 512
+	startPart      = 4 // of the objective for the first token is left for the target
 )
 
 // Recorder counts what happened to requests.
@@ -244,6 +245,9 @@
 	c.model.Workspace = c.workspace.Name
 	c.model.Arrived = c.arrived
 	c.model.Deadline = c.arrived.Add(patience)
+	if first := c.service.Objective.FirstToken; first > 0 {
+		c.model.Useful = c.arrived.Add(first - first/startPart)
+	}
 	c.model.Fingerprint = fingerprint(c)
 	if text := c.request.Header.Get(HeaderKey); text != "" {
 		f.keyed(w, c, text)
