--- a/core/permit/manager.go
+++ b/core/permit/manager.go
@@ -156,49 +156,6 @@
 	return limit.Bounds{Cold: s.Cold.Slots, Results: s.Cold.Results, Warm: s.Warm.Slots}
 }
 
-// takeOver sends a claim to every host that may hold permits.
-func (m *Manager) takeOver(now time.Time, g *managed) {
-	m.claims++
-	g.claim = m.claims
-	g.answered = map[netip.AddrPort]bool{}
-	g.reported = unreported
-	g.waitTil = now.Add(takeoverWait)
-	g.trustAt = now.Add(noticeSkew + reportLag)
-	m.sendClaim(now, g)
-}
-
-// sendClaim asks the hosts that are alive and have not answered.
-func (m *Manager) sendClaim(now time.Time, g *managed) {
-	g.askedAt = now
-	m.claimFrom(g, m.view.Self)
-	for _, a := range m.view.AlivePeers() {
-		m.claimFrom(g, a)
-	}
-}
-
-func (m *Manager) claimFrom(g *managed, host netip.AddrPort) {
-	if g.answered[host] {
-		return
-	}
-	p := m.peer(host)
-	p.pending = true
-	p.out.Claims = slices.DeleteFunc(p.out.Claims, func(c Claim) bool { return c.Target == g.target.Address })
-	p.out.Claims = append(p.out.Claims, Claim{Target: g.target.Address, Number: g.claim})
-}
-
-// settle ends a take-over when every listed host has answered.
-func (m *Manager) settle(g *managed) {
-	if g.settled || !g.answered[m.view.Self] {
-		return
-	}
-	for _, h := range m.view.List.Hosts {
-		if !g.answered[h.Peer] {
-			return
-		}
-	}
-	g.settled, g.answered = true, nil
-}
-
 func (m *Manager) dropTarget(a netip.AddrPort, g *managed) {
 	m.denyAll(g, NotManager)
 	m.retired[a] = Known{Target: a, Slots: g.warmth.Slots(), Incarnation: g.incarnation}
@@ -238,35 +195,6 @@
 	}
 }
 
-// doubt gives up counting the permits of a holder long out of reach. It may be
-// dead, or cut off with its requests still running, so that from now on the
-// targets' reports count until the holder answers or is no longer listed.
-func (m *Manager) doubt(now time.Time, holder netip.AddrPort) {
-	for _, g := range m.targets {
-		if !g.settled || !g.runs(holder) {
-			continue
-		}
-		m.claims++
-		g.claim = m.claims
-		g.settled = false
-		g.answered = map[netip.AddrPort]bool{m.view.Self: true}
-		for _, h := range m.view.List.Hosts {
-			g.answered[h.Peer] = h.Peer != holder
-		}
-		g.askedAt, g.reported = now, unreported
-	}
-	m.dropHoldings(holder)
-}
-
-func (g *managed) runs(holder netip.AddrPort) bool {
-	for k := range g.running {
-		if k.holder == holder {
-			return true
-		}
-	}
-	return false
-}
-
 func (m *Manager) dropAsks(holder netip.AddrPort) {
 	for _, g := range m.targets {
 		var keys []holderKey
@@ -375,22 +303,6 @@
 	}
 }
 
-func (m *Manager) accepted(holder netip.AddrPort, in FromHolder) {
-	for _, c := range in.Accepted {
-		g := m.targets[c.Target]
-		if g != nil && !g.settled && g.claim == c.Number {
-			g.answered[holder] = true
-			m.settle(g)
-		}
-	}
-	for _, k := range in.Known {
-		if g := m.targets[k.Target]; g != nil && k.Incarnation != 0 {
-			g.known = k
-			g.restore()
-		}
-	}
-}
-
 func (m *Manager) ask(now time.Time, k holderKey, a Ask) {
 	g := m.targets[a.Target]
 	switch {
@@ -527,108 +439,6 @@
 	}
 }
 
-// waitingAsk is an ask in a manager's queue.
-type waitingAsk struct {
-	Ask
-	deadline time.Time
-	useful   time.Time // zero when the request has no objective, or is late
-}
-
-// lanes is the number of ranks of each tier: asks that can still meet their
-// objective go before those of their tier that no longer can. Otherwise, under
-// more load than can be served, each request would start just too late.
-const lanes = 2
-
-func (g *managed) enqueue(now time.Time, k holderKey, a Ask) {
-	w := waitingAsk{Ask: a, deadline: now.Add(a.Patience)}
-	if a.Useful > late {
-		w.useful = now.Add(a.Useful)
-	}
-	rank := queue.Rank{Tier: a.Tier * lanes, Workspace: a.Workspace, Deadline: w.deadline}
-	switch {
-	case !w.useful.IsZero():
-		rank.Deadline = w.useful
-	case a.Useful > 0:
-		rank.Tier++
-	}
-	g.asks.Add(k, rank, w)
-}
-
-// demote moves an ask that has become too late for its objective.
-func (g *managed) demote(now time.Time, k holderKey, w waitingAsk) {
-	a := w.Ask
-	a.Patience, a.Useful = w.deadline.Sub(now), late
-	g.enqueue(now, k, a)
-}
-
-// serve grants permits for one target while it has free slots.
-func (m *Manager) serve(now time.Time, g *managed) {
-	if g.asks.Len() == 0 || !m.ready(now, g) {
-		return
-	}
-	slots := m.slots(g)
-	for len(g.running) < slots {
-		k, w, ok := g.asks.Best(func(w string) float64 { return m.use(g, w) })
-		if !ok {
-			return
-		}
-		if !w.useful.IsZero() && !now.Before(w.useful) {
-			g.demote(now, k, w)
-			continue
-		}
-		g.asks.Remove(k)
-		m.grant(g, k, w.Ask)
-	}
-}
-
-// ready reports whether a target may be granted now.
-func (m *Manager) ready(now time.Time, g *managed) bool {
-	if !g.settled && now.Before(g.waitTil) {
-		return false
-	}
-	return !now.Before(g.downTil) && m.view.Usable(g.target.Address)
-}
-
-// slots is the number of permits that may be out for a target. While hosts of
-// the zone are out of reach, another manager may be granting for the same
-// target: then the parts of a cold target's limit must not add up to more than
-// the whole. While hosts have not said what they hold, all that the target
-// reports counts as theirs, and only this host's part of the rest is granted,
-// since another manager may have read the same report.
-func (m *Manager) slots(g *managed) int {
-	whole := g.warmth.Slots()
-	slots := whole
-	if g.warmth.Cold() {
-		slots = m.view.Scale(g.target.Address, whole)
-	}
-	if g.probing {
-		slots = min(1, slots)
-	}
-	if g.settled {
-		return slots
-	}
-	if g.reported == unreported {
-		return 0
-	}
-	return min(slots, m.view.Scale(g.target.Address, max(0, whole-g.reported)))
-}
-
-// use is a workspace's running work on a target divided by its share.
-func (m *Manager) use(g *managed, workspace string) float64 {
-	share := 1
-	if w := m.view.Catalog.Workspaces[workspace]; w != nil {
-		share = w.Share
-	}
-	return float64(g.byWork[workspace]) / float64(share)
-}
-
-func (m *Manager) grant(g *managed, k holderKey, a Ask) {
-	p := m.peer(k.holder)
-	g.start(k, outstanding{workspace: a.Workspace, seq: p.seq + 1, era: g.era})
-	p.pending = true
-	p.out.Grants = append(p.out.Grants, Grant{Ticket: a.Ticket, Target: a.Target})
-}
-
 // Flush returns the messages that have gathered, one a holder.
 func (m *Manager) Flush() []ToHolder {
 	var out []ToHolder
@@ -671,27 +481,3 @@
 	slices.SortFunc(loads, func(a, b Load) int { return cmp.Compare(a.Target.String(), b.Target.String()) })
 	return loads
 }
-
-// Supersede gives up a target that another host manages by a newer list than
-// this host has read. Should this host manage it again by a still newer one, it
-// takes it over anew, since others have granted in between.
-func (m *Manager) Supersede(target netip.AddrPort, revision model.Revision) {
-	if revision <= m.view.List.Revision {
-		return
-	}
-	m.superseded[target] = max(m.superseded[target], revision)
-	if g := m.targets[target]; g != nil {
-		m.dropTarget(target, g)
-		m.order = slices.DeleteFunc(m.order, func(a netip.AddrPort) bool { return a == target })
-	}
-}
-
-// Known tells a successor what this host has learnt of a target that it manages
-// or used to manage.
-func (m *Manager) Known(target netip.AddrPort) (Known, bool) {
-	if g := m.targets[target]; g != nil && g.settled {
-		return Known{Target: target, Slots: g.warmth.Slots(), Incarnation: g.incarnation}, true
-	}
-	k, ok := m.retired[target]
-	return k, ok
-}
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -142,7 +142,9 @@
 // post hands an event to the deciding goroutine, waiting for room.
 func (l *Loop) post(ctx context.Context, e event) error { return l.events.Put(ctx, e) }
 
-// do hands over an event and waits until it has been handled.
+// do hands over an event and waits until it has been handled. The context only
+// bounds the handing over: an event that is in the ring will be handled, and its
+// results must not be read before.
 func (l *Loop) do(ctx context.Context, e event) error {
 	handled := make(chan struct{})
 	err := l.post(ctx, func(now time.Time) {
@@ -157,8 +159,6 @@
 		return nil
 	case <-l.done:
 		return context.Canceled
-	case <-ctx.Done():
-		return ctx.Err()
 	}
 }
 
--- a/io/loop/loop_test.go
+++ b/io/loop/loop_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"yuccadoor/core/model"
+	"yuccadoor/core/once"
 	"yuccadoor/core/route"
 	"yuccadoor/io/logs"
 )
@@ -62,3 +63,26 @@
 		})
 	}
 }
+
+// A caller that left while its key was being looked up read the decision while
+// it was being made, and left the key under way for good.
+func TestKeyLookedUpForACallerWhoLeavesIsDecided(t *testing.T) {
+	l := newLoop(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	began, release := make(chan struct{}), make(chan struct{})
+	go func() {
+		_ = l.do(context.Background(), func(time.Time) {
+			close(began)
+			<-release
+		})
+	}()
+	<-began
+	time.AfterFunc(20*time.Millisecond, func() {
+		cancel()
+		time.AfterFunc(20*time.Millisecond, func() { close(release) })
+	})
+	k := once.Issue(l.settings.Self, 1, 1, time.Now())
+	d, err := l.BeginKey(ctx, k, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Verdict, once.Run)
+}
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net"
 	"net/netip"
 	"sync"
@@ -44,6 +46,10 @@
 	keepCount    = 3
 )
 
+// quiet drops the library's own log lines: the loss of a connection is an event
+// of the handler.
+var quiet = log.New(io.Discard, "", 0)
+
 // Hello is the first message on a connection: who calls.
 type Hello struct {
 	From        netip.AddrPort
@@ -201,7 +207,7 @@
 	s := &session{mesh: m, remote: remote.Addr().Unmap()}
 	s.expire = time.AfterFunc(helloTimeout, func() { conn.Close() })
 	stream := jsonrpc2.NewPlainObjectStream(&counted{Conn: conn, counters: m.settings.Counters})
-	c := jsonrpc2.NewConn(m.ctx, stream, s)
+	c := jsonrpc2.NewConn(m.ctx, stream, s, jsonrpc2.SetLogger(quiet))
 	m.mu.Lock()
 	m.incoming[c] = remote.String()
 	m.mu.Unlock()
@@ -324,7 +330,7 @@
 		return nil, errors.Wrapf(err, "connect to peer %s", l.peer)
 	}
 	stream := jsonrpc2.NewPlainObjectStream(&counted{Conn: raw, counters: m.settings.Counters})
-	conn := jsonrpc2.NewConn(m.ctx, stream, refuseAll{})
+	conn := jsonrpc2.NewConn(m.ctx, stream, refuseAll{}, jsonrpc2.SetLogger(quiet))
 	hello := Hello{From: m.settings.Self, Incarnation: m.settings.Incarnation}
 	if err := conn.Notify(ctx, methodHello, hello); err != nil {
 		conn.Close()
