Shedding: an order is kept while a draft waits at another host

Cause: a host with a full queue and nothing less urgent in it refused, whatever waited elsewhere. Ruled out: a bound for each tier (the same between hosts), and asking every peer first (the refusal would not go out at once). Change: exchanges tell the least urgent tier waiting by service; the full host keeps the request in a reserve and lets such a peer refuse one in its stead.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -45,9 +45,10 @@
 	Incarnation    model.Incarnation
 	ListRevision   model.Revision
 	ConfigRevision model.Revision
-	Count          int64   // the sender's own counter
-	Beats          []Beat  `json:",omitempty"`
-	Crashes        []Crash `json:",omitempty"`
+	Count          int64                 // the sender's own counter
+	Beats          []Beat                `json:",omitempty"`
+	Crashes        []Crash               `json:",omitempty"`
+	Lowest         map[string]model.Tier `json:",omitempty"` // least urgent tier waiting, by service
 }
 
 type seen struct {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -94,6 +94,16 @@
 	return q.sizes[t]
 }
 
+// Lowest is the least urgent tier with a waiting item.
+func (q *Queue[K, T]) Lowest() (model.Tier, bool) {
+	for t := len(q.sizes) - 1; t >= 0; t-- {
+		if q.sizes[t] > 0 {
+			return model.Tier(t), true
+		}
+	}
+	return 0, false
+}
+
 // Get returns the item under key.
 func (q *Queue[K, T]) Get(key K) (T, bool) {
 	it, ok := q.items[key]
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -24,6 +24,7 @@
 	widenFirst    = 20 * time.Millisecond  // before the second ask is sent
 	widenPeriod   = 100 * time.Millisecond // before each further one
 	denyPeriod    = 300 * time.Millisecond // before a denied target is asked again
+	reserve       = 2                      // times the bound, for requests displaced elsewhere
 	retryLeast    = time.Second            // earliest time to come back
 	retryMost     = time.Minute            // latest time to come back
 	historySize   = 1 << 14                // prefix blocks a generation
@@ -46,10 +47,19 @@
 	Refusal model.Refusal
 }
 
+// Displace is the decision to let a peer refuse a waiting request of a service
+// that is less urgent than Tier, since this host has none to refuse.
+type Displace struct {
+	Peer    netip.AddrPort
+	Service string
+	Tier    model.Tier
+}
+
 // Decisions are what the scheduler wants done.
 type Decisions struct {
-	Starts  []Start
-	Refuses []Refuse
+	Starts    []Start
+	Refuses   []Refuse
+	Displaces []Displace
 }
 
 type entry struct {
@@ -91,7 +101,8 @@
 	running  map[model.RequestID]running
 	tickets  map[permit.Ticket]model.RequestID
 	counts   map[netip.AddrPort]counts
-	reported map[netip.AddrPort]int // load by target, as last reported
+	reported map[netip.AddrPort]int                   // load by target, as last reported
+	peers    map[netip.AddrPort]map[string]model.Tier // least urgent tier waiting, by service
 	ticket   permit.Ticket
 
 	nextDue   time.Time // earliest time at which a waiting request needs a look
@@ -116,6 +127,7 @@
 		tickets:  map[permit.Ticket]model.RequestID{},
 		counts:   map[netip.AddrPort]counts{},
 		reported: map[netip.AddrPort]int{},
+		peers:    map[netip.AddrPort]map[string]model.Tier{},
 	}
 }
 
@@ -163,7 +175,7 @@
 		detail := "no target takes work of service " + s.view.Missing(r.Service)
 		s.refuse(r.ID, model.ReasonNoTarget, detail, retryLeast)
 		return
-	case len(s.waiting) >= s.settings.MaxWaiting && !s.displace(r):
+	case len(s.waiting) >= s.settings.MaxWaiting && !s.displace(r) && !s.displaceAtPeer(r):
 		s.refuse(r.ID, model.ReasonShed, "too many requests wait", s.comeBack())
 		return
 	}
@@ -213,6 +225,64 @@
 	return true
 }
 
+// displaceAtPeer makes room in the fleet where this host has nothing less urgent
+// to refuse: a peer refuses a request in its stead, and this host keeps one more
+// than its bound, up to reserve times the bound.
+func (s *Scheduler) displaceAtPeer(r *model.Request) bool {
+	if len(s.waiting) >= reserve*s.settings.MaxWaiting {
+		return false
+	}
+	var chosen netip.AddrPort
+	lowest := r.Tier
+	for a, waiting := range s.peers {
+		t, ok := waiting[r.Service]
+		if !ok || !s.view.Alive(a) || t <= r.Tier {
+			continue
+		}
+		if t > lowest || (t == lowest && a.Compare(chosen) < 0) {
+			chosen, lowest = a, t
+		}
+	}
+	if !chosen.IsValid() {
+		return false
+	}
+	s.decisions.Displaces = append(s.decisions.Displaces, Displace{Peer: chosen, Service: r.Service, Tier: r.Tier})
+	return true
+}
+
+// DisplaceFor refuses a waiting request of a service that is less urgent than
+// tier, on behalf of a peer that has none. Without one it does nothing.
+func (s *Scheduler) DisplaceFor(service string, tier model.Tier) {
+	q := s.queues[service]
+	if q == nil {
+		return
+	}
+	if _, e, ok := q.Worst(tier); ok {
+		s.leave(e)
+		s.refuse(e.request.ID, model.ReasonShed, "displaced by a more urgent request at another host", s.comeBack())
+	}
+}
+
+// PeerWaits takes in the least urgent tier that waits at a peer, by service.
+func (s *Scheduler) PeerWaits(peer netip.AddrPort, lowest map[string]model.Tier) {
+	if len(lowest) == 0 {
+		delete(s.peers, peer)
+		return
+	}
+	s.peers[peer] = lowest
+}
+
+// Lowest is the least urgent tier that waits on this host, by service.
+func (s *Scheduler) Lowest() map[string]model.Tier {
+	lowest := map[string]model.Tier{}
+	for name, q := range s.queues {
+		if t, ok := q.Lowest(); ok {
+			lowest[name] = t
+		}
+	}
+	return lowest
+}
+
 // worse reports whether a is displaced before b.
 func worse(a, b *model.Request) bool {
 	if a.Tier != b.Tier {
--- a/io/cmds/demo.go
+++ b/io/cmds/demo.go
@@ -21,6 +21,8 @@
 	Prefixes int           `help:"Distinct prompt prefixes." default:"16"`
 	Prompt   int           `help:"Bytes of a prompt prefix." default:"1024"`
 	Deadline time.Duration `help:"Patience of a request." default:"5s"`
+	ZoneOut  time.Duration `help:"When to take availability zone b out; 0 for never."`
+	ZoneBack time.Duration `help:"When to bring it back; 0 for never."`
 
 	Stay bool `help:"Keep running afterwards, until interrupted."`
 }
@@ -50,12 +52,14 @@
 		Model: local.EngineModel, Stream: true, Prefixes: c.Prefixes, Prompt: c.Prompt, Tokens: 4, TailRatio: 30, TailShape: 1.2,
 	}, load.Target{Fronts: s.Fronts(), Key: local.Key}, load.Objective{First: 360 * time.Millisecond})
 	defer stop()
+	c.schedule(s, c.ZoneOut, []string{"b"})
+	c.schedule(s, c.ZoneBack, nil)
 	result, err := runner.Run(e.ctx, progress(e))
 	if err != nil {
 		return err
 	}
 	result.Text(e.out)
-	prefill(e, s)
+	accounts(e, s)
 	fmt.Fprintf(e.out, "\nTry next:\n  yuccadoor demo --stay            keep it running\n")
 	fmt.Fprintf(e.out, "  yuccadoor status %s   what the first host sees\n", s.Admin(0))
 	fmt.Fprintf(e.out, "  yuccadoor burn %s %s   service-level burn\n", s.Admin(0), s.Admin(1))
@@ -67,12 +71,23 @@
 	return nil
 }
 
-// prefill sums up the engines' own account of prompt tokens: how many were found
-// in a cache, and how many were computed for answers that did not end whole.
-func prefill(e *env, s *local.System) {
+// schedule publishes a text with the given zones taken out after a while.
+func (c *demoCommand) schedule(s *local.System, after time.Duration, zonesOut []string) {
+	if after > 0 {
+		time.AfterFunc(after, func() { s.Platform.SetConfig(s.Text(zonesOut)) })
+	}
+}
+
+// accounts sums up the engines' own accounts: their requests, and of the prompt
+// tokens how many were found in a cache, and how many were computed for answers
+// that did not end whole.
+func accounts(e *env, s *local.System) {
 	prompt, cached, lost := 0, 0, 0
-	for _, engine := range s.Engines {
-		for _, r := range engine.Account().Runs {
+	for i, engine := range s.Engines {
+		account := engine.Account()
+		fmt.Fprintf(e.out, "engine %d in zone %s: %d requests, at most %d at once, overrun while cold %d times\n",
+			i, s.Targets[i].Zone, len(account.Runs), account.Peak, account.Overrun)
+		for _, r := range account.Runs {
 			prompt += r.Prompt
 			cached += r.Cached
 			if !r.Whole {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -128,6 +128,20 @@
 	incarnation model.Incarnation
 }
 
+// finder looks services up by name and keeps the first error.
+type finder struct {
+	kernel *kernel.Kernel
+	err    error
+}
+
+func need[T any](f *finder, name string) T {
+	service, err := kernel.Lookup[T](f.kernel, name)
+	if f.err == nil {
+		f.err = err
+	}
+	return service
+}
+
 func (b *builder) stats(context.Context, *kernel.Kernel) (any, kernel.Cleanup, error) {
 	return stats.New(b.options.Now), nil, nil
 }
@@ -142,13 +156,11 @@
 }
 
 func (b *builder) peers(ctx context.Context, k *kernel.Kernel) (any, kernel.Cleanup, error) {
-	l, err := kernel.Lookup[*loop.Loop](k, serviceLoop)
-	if err != nil {
-		return nil, nil, err
-	}
-	s, err := kernel.Lookup[*stats.Stats](k, serviceStats)
-	if err != nil {
-		return nil, nil, err
+	f := finder{kernel: k}
+	l := need[*loop.Loop](&f, serviceLoop)
+	s := need[*stats.Stats](&f, serviceStats)
+	if f.err != nil {
+		return nil, nil, f.err
 	}
 	listener, err := net.Listen("tcp", b.settings.peer.String())
 	if err != nil {
@@ -172,13 +184,11 @@
 }
 
 func (b *builder) platform(ctx context.Context, k *kernel.Kernel) (any, kernel.Cleanup, error) {
-	l, err := kernel.Lookup[*loop.Loop](k, serviceLoop)
-	if err != nil {
-		return nil, nil, err
-	}
-	sender, err := kernel.Lookup[*reach.Sender](k, serviceReach)
-	if err != nil {
-		return nil, nil, err
+	f := finder{kernel: k}
+	l := need[*loop.Loop](&f, serviceLoop)
+	sender := need[*reach.Sender](&f, serviceReach)
+	if f.err != nil {
+		return nil, nil, f.err
 	}
 	client, cleanup := plat.New(b.settings.config, b.settings.hosts)
 	d := &duties{client: client, loop: l, sender: sender, log: b.log, now: b.options.Now}
@@ -189,13 +199,11 @@
 }
 
 func (b *builder) admin(_ context.Context, k *kernel.Kernel) (any, kernel.Cleanup, error) {
-	l, err := kernel.Lookup[*loop.Loop](k, serviceLoop)
-	if err != nil {
-		return nil, nil, err
-	}
-	s, err := kernel.Lookup[*stats.Stats](k, serviceStats)
-	if err != nil {
-		return nil, nil, err
+	f := finder{kernel: k}
+	l := need[*loop.Loop](&f, serviceLoop)
+	s := need[*stats.Stats](&f, serviceStats)
+	if f.err != nil {
+		return nil, nil, f.err
 	}
 	s.Gauge("yuccadoor_running", func() float64 { return float64(l.Status().Running) })
 	s.Gauge("yuccadoor_config_revision", func() float64 { return float64(l.Status().ConfigRevision) })
@@ -218,17 +226,12 @@
 }
 
 func (b *builder) front(_ context.Context, k *kernel.Kernel) (any, kernel.Cleanup, error) {
-	l, err := kernel.Lookup[*loop.Loop](k, serviceLoop)
-	if err != nil {
-		return nil, nil, err
-	}
-	sender, err := kernel.Lookup[*reach.Sender](k, serviceReach)
-	if err != nil {
-		return nil, nil, err
-	}
-	s, err := kernel.Lookup[*stats.Stats](k, serviceStats)
-	if err != nil {
-		return nil, nil, err
+	f := finder{kernel: k}
+	l := need[*loop.Loop](&f, serviceLoop)
+	sender := need[*reach.Sender](&f, serviceReach)
+	s := need[*stats.Stats](&f, serviceStats)
+	if f.err != nil {
+		return nil, nil, f.err
 	}
 	server := front.Server(front.Handler(front.Settings{
 		Self: b.settings.peer, Prefix: idPrefix(b.settings.peer, b.incarnation),
--- a/io/local/fail_test.go
+++ b/io/local/fail_test.go
@@ -386,3 +386,33 @@
 		assert.Equal(t, p.Account().Overrun, 0)
 	}
 }
+
+// One host's queue is full of orders while the other holds only drafts: a further
+// order is kept, and a draft of the other host is refused in its stead.
+func TestOrderIsNotShedWhileADraftWaitsAtAnotherHost(t *testing.T) {
+	o := small()
+	o.Plains, o.Plain.Cold, o.Plain.Warm, o.Plain.Work = 1, 1, 1, 10*time.Second
+	o.Deadline, o.Waiting = 8*time.Second, 3
+	ctx, s := start(t, o)
+	replies := make(chan reply, 16)
+	send := func(host int, tier string) {
+		go func() {
+			replies <- s.ask(ctx, host, http.MethodGet, "/services/orders/x", tier, front.HeaderTier, tier)
+		}()
+	}
+	waiting := func(host int, tier string) int { return s.Hosts[host].Status().Waiting[tier] }
+	send(1, "Draft")
+	eventually(ctx, t, "the target is busy", func() bool { return s.Plains[0].Running() == 1 })
+	for range 3 {
+		send(0, "Order")
+		send(1, "Draft")
+	}
+	eventually(ctx, t, "both queues are full", func() bool { return waiting(0, "Order") == 3 && waiting(1, "Draft") == 3 })
+	time.Sleep(1500 * time.Millisecond) // the hosts tell each other what waits
+	send(0, "Order")
+	r := <-replies
+	assert.Equal(t, r.Problem.Reason, model.ReasonShed, r.Body)
+	assert.Equal(t, r.Problem.Ran, model.NotRun)
+	assert.Equal(t, r.Header.Get(front.HeaderTier), "Draft", "an order was shed while drafts wait")
+	eventually(ctx, t, "the order is kept", func() bool { return waiting(0, "Order") == 4 && waiting(1, "Draft") == 2 })
+}
--- a/io/local/local.go
+++ b/io/local/local.go
@@ -4,6 +4,7 @@
 package local
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -23,12 +24,13 @@
 
 // Names of the services and of the key that every local system has.
 const (
-	EngineService = "lm"
-	EngineModel   = "lm-1"
-	PlainService  = "orders"
-	OnceCall      = "POST /rolls"
-	Key           = "desk-key"
-	readyPoll     = 10 * time.Millisecond
+	EngineService  = "lm"
+	EngineModel    = "lm-1"
+	PlainService   = "orders"
+	OnceCall       = "POST /rolls"
+	Key            = "desk-key"
+	defaultWaiting = 10_000
+	readyPoll      = 10 * time.Millisecond
 )
 
 // Options size a local system.
@@ -45,6 +47,7 @@
 	Policy   string
 	LogTo    io.Writer
 	LogLevel string
+	Waiting  int                           // requests that may wait on a host; 0 for 10,000
 	Host     func(i int, o *entry.Options) // changes one host's parts; may be nil
 }
 
@@ -151,7 +154,7 @@
 	s.settings = append(s.settings, entry.Settings{
 		Front: h.Front.String(), Peer: h.Peer.String(), Admin: take().String(), Zone: h.Zone,
 		Config: platform.String(), Hosts: platform.String(), Policy: s.Options.Policy,
-		LogLevel: s.Options.LogLevel, MaxWaiting: 10000, MaxConns: 20000, Grace: time.Minute,
+		LogLevel: s.Options.LogLevel, MaxWaiting: cmp.Or(s.Options.Waiting, defaultWaiting), MaxConns: 20000, Grace: time.Minute,
 	})
 }
 
--- a/io/loop/docs.go
+++ b/io/loop/docs.go
@@ -145,12 +145,14 @@
 	x.Incarnation = l.settings.Incarnation
 	x.ConfigRevision = l.config.revision
 	x.Crashes = l.crashes.Share(now)
+	x.Lowest = l.sched.Lowest()
 	return x
 }
 
 func (l *Loop) hear(now time.Time, x member.Exchange) {
 	l.members.Hear(now, x)
 	l.crashes.Learn(now, x.Crashes)
+	l.sched.PeerWaits(x.From, x.Lowest)
 	if x.ConfigRevision > l.config.revision || x.ListRevision > l.list.Revision {
 		l.fetch(x.From)
 	}
@@ -165,6 +167,11 @@
 	})
 }
 
+// Displace implements peers.Handler.
+func (l *Loop) Displace(d peers.Displace) {
+	_ = l.post(context.Background(), func(time.Time) { l.sched.DisplaceFor(d.Service, d.Tier) })
+}
+
 // Fetch implements peers.Handler.
 func (l *Loop) Fetch(ctx context.Context, f peers.Fetch) (peers.Document, error) {
 	var d peers.Document
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -38,6 +38,7 @@
 	Holder(to netip.AddrPort, m permit.FromHolder)
 	Manager(to netip.AddrPort, m permit.FromManager)
 	Fresh(to netip.AddrPort, f peers.Fetch)
+	Displace(to netip.AddrPort, d peers.Displace)
 	Exchange(ctx context.Context, to netip.AddrPort, x member.Exchange) (member.Exchange, error)
 	Fetch(ctx context.Context, to netip.AddrPort, f peers.Fetch) (peers.Document, error)
 }
@@ -264,6 +265,9 @@
 	for i := range d.Starts {
 		l.hand(d.Starts[i].Request, Verdict{Start: &d.Starts[i]})
 	}
+	for _, x := range d.Displaces {
+		l.mesh.Displace(x.Peer, peers.Displace{Service: x.Service, Tier: x.Tier})
+	}
 	for i := range d.Refuses {
 		l.hand(d.Refuses[i].Request, Verdict{Refusal: &d.Refuses[i].Refusal})
 	}
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -30,6 +30,7 @@
 	methodExchange = "Exchange"
 	methodFetch    = "Fetch"
 	methodFresh    = "Fresh"
+	methodDisplace = "Displace"
 )
 
 // Times and bounds of the connections.
@@ -69,6 +70,13 @@
 	ListRevision   model.Revision
 }
 
+// Displace asks a peer to refuse a waiting request of a service that is less
+// urgent than Tier.
+type Displace struct {
+	Service string
+	Tier    model.Tier
+}
+
 // Handler takes in what peers send. Its methods are called from one goroutine
 // a connection.
 type Handler interface {
@@ -81,6 +89,7 @@
 	Fetch(ctx context.Context, f Fetch) (Document, error)
 	// Fresh tells that a peer has a newer text.
 	Fresh(peer netip.AddrPort, f Fetch)
+	Displace(d Displace)
 	// Lost tells that messages to a peer may not have arrived.
 	Lost(peer netip.AddrPort)
 }
@@ -268,6 +277,9 @@
 // Fresh tells a peer that this host has newer texts.
 func (m *Mesh) Fresh(to netip.AddrPort, f Fetch) { m.send(to, methodFresh, f) }
 
+// Displace asks a peer to refuse a less urgent waiting request.
+func (m *Mesh) Displace(to netip.AddrPort, d Displace) { m.send(to, methodDisplace, d) }
+
 func (m *Mesh) send(to netip.AddrPort, method string, params any) {
 	if !m.link(to).out.Offer(notice{method, params}) {
 		m.handler.Lost(to)
--- a/io/peers/session.go
+++ b/io/peers/session.go
@@ -72,6 +72,12 @@
 			h.Fresh(s.peer, f)
 		}
 		return nil, err
+	case methodDisplace:
+		d, err := decode[Displace](*r.Params)
+		if err == nil {
+			h.Displace(d)
+		}
+		return nil, err
 	case methodExchange:
 		x, err := decode[member.Exchange](*r.Params)
 		if err != nil || x.From != s.peer {
