--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -42,6 +43,7 @@
 	DialPeer   peers.Dial
 	DialTarget reach.Dial
 	Now        func() time.Time
+	Reading    time.Duration // longest time for reading a caller's body; 0 for the usual
 }
 
 // Host is a running entry host.
@@ -233,10 +235,11 @@
 	if f.err != nil {
 		return nil, nil, f.err
 	}
+	reading := cmp.Or(b.options.Reading, front.BodyTimeout)
 	server := front.Server(front.Handler(front.Settings{
 		Self: b.settings.peer, Prefix: idPrefix(b.settings.peer, b.incarnation),
 		Loop: l, Sender: sender, Log: b.log, Recorder: s, Now: b.options.Now,
-	}))
+	}), reading)
 	cleanup, err := listen(server, b.settings.front, b.settings.MaxConns)
 	return server, cleanup, errors.Wrap(err, "listen for callers")
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -40,7 +40,7 @@
 const (
 	MaxBodyBytes   = 4 << 20
 	MaxHeaderBytes = 32 << 10
-	readTimeout    = 30 * time.Second
+	BodyTimeout    = 30 * time.Second // for reading a body
 	headTimeout    = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	blockBytes     = 256 // bytes of a prompt in a prefix block
@@ -99,11 +99,12 @@
 	return r
 }
 
-// Server returns an HTTP server with bounds on what callers may send.
-func Server(h http.Handler) *http.Server {
+// Server returns an HTTP server with bounds on what callers may send, and on the
+// time for reading one request.
+func Server(h http.Handler, reading time.Duration) *http.Server {
 	return &http.Server{
 		Handler: h, MaxHeaderBytes: MaxHeaderBytes,
-		ReadHeaderTimeout: headTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		ReadHeaderTimeout: headTimeout, ReadTimeout: reading, IdleTimeout: idleTimeout,
 	}
 }
 
--- a/io/local/fail_test.go
+++ b/io/local/fail_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"yuccadoor/core/model"
+	"yuccadoor/io/entry"
 	"yuccadoor/io/fakes"
 	"yuccadoor/io/front"
 )
@@ -416,3 +417,49 @@
 	assert.Equal(t, r.Header.Get(front.HeaderTier), "Draft", "an order was shed while drafts wait")
 	eventually(ctx, t, "the order is kept", func() bool { return waiting(0, "Order") == 4 && waiting(1, "Draft") == 2 })
 }
+
+// The bound on reading a request must not end one that takes long to answer.
+func TestLongAnswerOutlivesTheBoundOnReadingTheRequest(t *testing.T) {
+	o := small()
+	o.Plain.Work = 600 * time.Millisecond
+	o.Host = func(_ int, e *entry.Options) { e.Reading = 150 * time.Millisecond }
+	ctx, s := start(t, o)
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		r := s.ask(ctx, 0, method, "/services/orders/review", "a long one")
+		assert.NilError(t, r.Err)
+		assert.Equal(t, r.Status, http.StatusOK, r.Body)
+	}
+	r := s.ask(ctx, 0, http.MethodGet, "/services/orders/review", "")
+	assert.NilError(t, r.Err)
+	assert.Equal(t, r.Status, http.StatusOK, r.Body)
+}
+
+// slots is the present limit of an engine, as its manager has it.
+func (s *System) slots(engine int) int {
+	for _, i := range s.running() {
+		for _, l := range s.Hosts[i].Status().Targets {
+			if l.Target == s.Targets[engine].Address {
+				return l.Slots
+			}
+		}
+	}
+	return 0
+}
+
+// Nobody announces that the engine has turned cold: one slow stream, whichever
+// host sent it, takes it back to its cold limit for all hosts.
+func TestWarmTargetThatTurnsColdFallsBackForAllHosts(t *testing.T) {
+	o := small()
+	o.Engines = 1
+	o.Engine.Decode = 3 * time.Millisecond
+	ctx, s := start(t, o)
+	stream := fmt.Sprintf(chat, "x", true, 12)
+	eventually(ctx, t, "the engine is warm", func() bool {
+		s.ask(ctx, 0, http.MethodPost, "/v1/chat/completions", stream)
+		return s.slots(0) == o.Engine.Warm
+	})
+	s.Engines[0].Slow(20)
+	r := s.ask(ctx, 1, http.MethodPost, "/v1/chat/completions", stream)
+	assert.Equal(t, r.Status, http.StatusOK, r.Body)
+	eventually(ctx, t, "it is at its cold limit", func() bool { return s.slots(0) == o.Engine.Cold })
+}
