--- a/io/local/fail_test.go
+++ b/io/local/fail_test.go
@@ -119,6 +119,7 @@
 		late = s.ask(ctx, 0, http.MethodGet, "/services/orders/late", "")
 		return late.Err != nil || late.Status != http.StatusOK
 	})
+	assert.Assert(t, !s.Hosts[0].Ready(), "the balancer would go on sending")
 	if late.Err == nil {
 		assert.Equal(t, late.Problem.Ran, model.NotRun)
 		assert.Equal(t, late.Problem.Reason, model.ReasonStopping)
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -94,6 +94,7 @@
 	nextID   model.RequestID
 	serial   uint64
 	peersMet bool
+	stopping bool
 }
 
 // document is the operators' text as adopted or rejected.
@@ -382,9 +383,13 @@
 	_ = l.post(context.Background(), func(time.Time) { l.keys.NotRun(k) })
 }
 
-// Stop refuses new requests from now on.
+// Stop refuses new requests from now on; the host is not ready any more.
 func (l *Loop) Stop(ctx context.Context) error {
-	return l.do(ctx, func(time.Time) { l.sched.Stop() })
+	return l.do(ctx, func(now time.Time) {
+		l.stopping = true
+		l.sched.Stop()
+		l.publish(now)
+	})
 }
 
 // Idle reports whether no request waits or runs.
