--- a/core/permit/manager.go
+++ b/core/permit/manager.go
@@ -316,7 +316,7 @@
 		if _, again := g.running[k]; again {
 			return // granted already; the grant is on its way
 		}
-		a.Tier = m.known(a.Tier)
+		a.Tier = m.clampTier(a.Tier)
 		g.enqueue(now, k, a)
 		m.serve(now, g)
 	}
@@ -357,7 +357,8 @@
 }
 
 // Report takes in a managed target's own account: its incarnation, and how many
-// requests it runs. A new incarnation is cold; the one that a former manager knew keeps its limit.
+// requests it runs. A new incarnation is cold; the one that a former manager
+// knew keeps its limit.
 func (m *Manager) Report(now time.Time, target netip.AddrPort, incarnation model.Incarnation, running int) {
 	g := m.targets[target]
 	if g == nil {
--- a/core/permit/serve.go
+++ b/core/permit/serve.go
@@ -19,8 +19,9 @@
 // more load than can be served, each request would start just too late.
 const lanes = 2
 
-// known keeps a tier within the catalog's: a holder may have read another text.
-func (m *Manager) known(t model.Tier) model.Tier {
+// clampTier keeps a tier within the catalog's: a holder may have read another
+// text.
+func (m *Manager) clampTier(t model.Tier) model.Tier {
 	return min(t, model.Tier(max(len(m.view.Catalog.Tiers), 1)-1))
 }
 
