Hosts: a reader that failed and was relieved counts as unable for a while

Ruled out: the pauses of a single reader; they hold while it goes on reading.

Change: core/hosts keeps the mark for 10 s after the relief; news of the store that arrives after the relief no longer changes it.

--- a/core/hosts/duties.go
+++ b/core/hosts/duties.go
@@ -50,9 +50,15 @@
 // arrive while any one can read, at a cost that does not grow with the fleet.
 const readers = 3
 
+// believeFailure is how long a host that failed to read and was relieved counts
+// as unable. It is the longest time for which others than the first few may try
+// less often than they could; it spans several of a reader's own pauses, so that
+// a store that is away is asked little more often than by the first few alone.
+const believeFailure = 10 * time.Second
+
 // Reads reports whether this host is one of those that read the published
 // facts: the first few of those that can, and of all, so that one that could not
-// goes on trying.
+// goes on trying. It is asked often: with time it forgets that this host failed.
 func (h *Hosts) Reads(now time.Time) bool {
 	all := []Beat{h.self}
 	for _, m := range h.members {
@@ -64,7 +70,9 @@
 		return cmp.Compare(place.DutyOf(b.Address), place.DutyOf(a.Address))
 	})
 	able := slices.DeleteFunc(slices.Clone(all), func(b Beat) bool { return b.Unread })
-	return h.among(all) || h.among(able)
+	reads := h.among(all) || h.among(able)
+	h.forgetFailure(now, reads)
+	return reads
 }
 
 // among reports whether this host is one of the readers picked from the given:
--- a/core/hosts/hosts.go
+++ b/core/hosts/hosts.go
@@ -81,6 +81,7 @@
 	leads   bool // this host leads, as last decided
 	beatAt  time.Time
 	urgent  bool             // something has changed that others act on
+	failed  time.Time        // when this host last failed to read; zero for never
 	greet   []netip.AddrPort // hosts that are new here and do not know of this one
 }
 
@@ -221,7 +222,31 @@
 }
 
 // Unread notes whether this host fails to read the published facts.
-func (h *Hosts) Unread(failing bool) {
+func (h *Hosts) Unread(now time.Time, failing bool) {
+	h.failed = time.Time{}
+	if failing {
+		h.failed = now
+	}
+	h.setUnread(failing)
+}
+
+// Relieved notes that this host reads no more. Had it failed to read, that is
+// believed for a while: were it able again at once, hosts before a store that is
+// away would take the reading over from each other in turn, many times a second.
+func (h *Hosts) Relieved(now time.Time) {
+	if h.self.Unread {
+		h.failed = now
+	}
+}
+
+// forgetFailure ends the belief that a host which reads no more cannot read.
+func (h *Hosts) forgetFailure(now time.Time, reads bool) {
+	if h.self.Unread && !reads && now.Sub(h.failed) >= believeFailure {
+		h.setUnread(false)
+	}
+}
+
+func (h *Hosts) setUnread(failing bool) {
 	h.urgent = h.urgent || h.self.Unread != failing
 	h.self.Unread = failing
 }
--- a/core/hosts/hosts_test.go
+++ b/core/hosts/hosts_test.go
@@ -213,7 +213,7 @@
 	// One that fails to read goes on trying, and another reads beside it.
 	for _, h := range f.hosts {
 		if h.Reads(f.now) {
-			h.Unread(true)
+			h.Unread(f.now, true)
 			break
 		}
 	}
@@ -222,6 +222,32 @@
 	assert.Equal(t, n, 4)
 }
 
+// Before a store that is away all fail in turn; the few that go on trying are the
+// same, and the others try again only now and then.
+func TestReadingIsNotHandedRoundWhileNoneCanRead(t *testing.T) {
+	f := newFleet(6)
+	f.run(3 * time.Second)
+	reading, begun := map[*Hosts]bool{}, 0
+	const length = 30 * time.Second
+	for end := f.now.Add(length); f.now.Before(end); {
+		f.run(100 * time.Millisecond)
+		for _, h := range f.hosts {
+			on := h.Reads(f.now)
+			if !on && reading[h] {
+				h.Relieved(f.now)
+			}
+			if on && !reading[h] {
+				begun++
+			}
+			if reading[h] = on; on {
+				h.Unread(f.now, true)
+			}
+		}
+	}
+	most := readers + (len(f.hosts)-readers)*int(length/believeFailure+1)
+	assert.Assert(t, begun <= most, "reading was begun %d times, at most %d are allowed", begun, most)
+}
+
 // A clock that was stepped back must not hide a restarted host.
 func TestRestartWithAnEarlierClock(t *testing.T) {
 	f := newFleet(3)
--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -37,7 +37,7 @@
 	c.settings.Log.Event("info", "reading of the store", "On", on)
 	c.settings.Read(on)
 	if !on {
-		c.hosts.Unread(false)
+		c.hosts.Relieved(now)
 	}
 }
 
@@ -108,6 +108,8 @@
 		}
 		c.everUp = c.everUp || up
 		c.storeUp = up
-		c.hosts.Unread(c.reading && !up)
+		if c.reading {
+			c.hosts.Unread(now, !up)
+		}
 	})
 }
