Crashes: told apart by when the request was sent, not by nearness in time

Cause: TestContentThatCrashesTargetsIsRefusedAfterTwoCrashes saw three crashes beside load.

Change: a record holds when its request was sent. Two breaks are one crash if both requests were under way at some time; a request sent after a crash met the next process. Records that come from other hosts bear an id, so that the same one is not counted twice, and 300 ms are allowed for their way. The broker's records, at three crashes, are made the same way.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -58,7 +58,7 @@
 	return &Broker{
 		roster: roster.New().Snapshot(), config: (&routes.Config{}).Index(),
 		queues: map[string][]*waiting{}, runs: map[key]*run{}, targets: map[string]*target{},
-		services: map[string]*answers{}, sizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(condemnAt), share: 1,
+		services: map[string]*answers{}, sizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(0, condemnAt), share: 1,
 		grants: map[netip.AddrPort][]Grant{}, refusals: map[netip.AddrPort][]Refusal{},
 	}
 }
@@ -171,7 +171,7 @@
 	if t.published != nil && r.ask != nil {
 		switch d.Outcome {
 		case Broken:
-			t.broke(now, r.ask.ask.Content)
+			t.broke(now, d.Took, r.ask.ask.Content)
 		case NoConnect:
 			b.crashed(now, t.published.Address, t)
 		}
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -24,10 +24,11 @@
 type doubt struct {
 	content model.Fingerprint
 	at      time.Time
+	took    time.Duration // from sending to the break
 }
 
 // broke notes that a run ended with a broken connection.
-func (t *target) broke(now time.Time, content model.Fingerprint) {
+func (t *target) broke(now time.Time, took time.Duration, content model.Fingerprint) {
 	if content == 0 {
 		return
 	}
@@ -37,7 +38,7 @@
 			kept = append(kept, d)
 		}
 	}
-	t.doubts = append(kept, doubt{content, now})
+	t.doubts = append(kept, doubt{content, now, took})
 }
 
 // crashed holds the runs that broke lately against their contents: the target
@@ -45,7 +46,7 @@
 func (b *Broker) crashed(now time.Time, address netip.AddrPort, t *target) {
 	for _, d := range t.doubts {
 		if now.Sub(d.at) < doubtFor {
-			b.crashes.Crashed(d.at, d.content, address)
+			b.crashes.Crashed(d.at, d.took, d.content, address)
 		}
 	}
 	t.doubts = nil
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -17,41 +17,62 @@
 const (
 	Expiry     = 10 * time.Minute // after which a crash is forgotten
 	maxRecords = 4096
-	maxShared  = 16              // records in one message
-	sameCrash  = 2 * time.Second // breaks of one target this close are one crash
+	maxShared  = 16 // records in one message
+	// onTheWay is by how much later a record may seem that came from another
+	// host: its age is as of sending, and messages take some time.
+	onTheWay = 300 * time.Millisecond
 )
 
 // record is one crash of one target while it ran a content.
 type record struct {
+	id     member.CrashID
 	target netip.AddrPort
+	began  time.Time // when the request that broke was sent
 	at     time.Time
 }
 
+// sameCrash reports whether two requests broke at one crash: both were under way
+// at some time, as far as hosts agree about time. One sent after a crash met the
+// target's next process.
+func (c record) sameCrash(d record) bool {
+	if c.id == d.id {
+		return true
+	}
+	slack := time.Duration(0)
+	if c.id.Seer != d.id.Seer {
+		slack = onTheWay
+	}
+	return c.target == d.target && c.began.Sub(d.at) <= slack && d.began.Sub(c.at) <= slack
+}
+
 // Records are the crashes that one host knows of. One goroutine owns it.
 type Records struct {
+	self    uint64 // number of this host's process, in the ids of its records
+	serial  uint64 // of the last record made here
 	crashes map[model.Fingerprint][]record
 	limit   int // crashes at which a content is refused
 	size    int
 	next    int // where the next message starts
 }
 
-// NewRecords returns empty records that refuse a content at so many crashes.
-func NewRecords(limit int) *Records {
-	return &Records{crashes: map[model.Fingerprint][]record{}, limit: limit}
+// NewRecords returns empty records of the process with this number, which no
+// other process has, that refuse a content at so many crashes.
+func NewRecords(self uint64, limit int) *Records {
+	return &Records{self: self, crashes: map[model.Fingerprint][]record{}, limit: limit}
 }
 
-// Crashed records that a target broke while it ran a content. Several reports
-// of one crash count once.
-func (r *Records) Crashed(at time.Time, f model.Fingerprint, target netip.AddrPort) {
-	for _, c := range r.crashes[f] {
-		if c.target == target && at.Sub(c.at).Abs() < sameCrash {
-			return
-		}
-	}
-	if r.size >= maxRecords {
+// Crashed records that a target broke at a time, while it ran a content that it
+// had been sent took before. Several reports of one crash count once.
+func (r *Records) Crashed(at time.Time, took time.Duration, f model.Fingerprint, target netip.AddrPort) {
+	r.serial++
+	r.add(f, record{id: member.CrashID{Seer: r.self, Serial: r.serial}, target: target, began: at.Add(-took), at: at})
+}
+
+func (r *Records) add(f model.Fingerprint, c record) {
+	if slices.ContainsFunc(r.crashes[f], c.sameCrash) || r.size >= maxRecords {
 		return
 	}
-	r.crashes[f] = append(r.crashes[f], record{target: target, at: at})
+	r.crashes[f] = append(r.crashes[f], c)
 	r.size++
 }
 
@@ -83,7 +104,7 @@
 	all := make([]member.Crash, 0, r.size)
 	for f, crashes := range r.crashes {
 		for _, c := range crashes {
-			all = append(all, member.Crash{Fingerprint: f, Target: c.target, Age: now.Sub(c.at)})
+			all = append(all, member.Crash{ID: c.id, Fingerprint: f, Target: c.target, Age: now.Sub(c.at), Took: c.at.Sub(c.began)})
 		}
 	}
 	slices.SortFunc(all, func(a, b member.Crash) int { return cmp.Compare(a.Age, b.Age) })
@@ -98,7 +119,8 @@
 func (r *Records) Learn(now time.Time, shared []member.Crash) {
 	for _, c := range shared {
 		if c.Age >= 0 && c.Age < Expiry {
-			r.Crashed(now.Add(-c.Age), c.Fingerprint, c.Target)
+			at := now.Add(-c.Age)
+			r.add(c.Fingerprint, record{id: c.ID, target: c.Target, began: at.Add(-c.Took), at: at})
 		}
 	}
 }
--- /dev/null
+++ b/core/crash/crash_test.go
@@ -0,0 +1,80 @@
+package crash
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"yuccadoor/core/model"
+)
+
+const content model.Fingerprint = 7
+
+var (
+	targetA = netip.MustParseAddrPort("127.0.0.1:1")
+	targetB = netip.MustParseAddrPort("127.0.0.1:2")
+	start   = time.Unix(1_000_000, 0)
+)
+
+// report is a break that one host saw: of a request sent at one time, seen at
+// another, in milliseconds from the start.
+type report struct {
+	target   netip.AddrPort
+	sent, at int
+}
+
+// Two quick crashes of one target counted as one, so that a content crashed a
+// third (io/local, beside load).
+func TestCrashesAreCountedOnceEach(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reports []report
+		refused bool
+	}{
+		{"one crash", []report{{targetA, 0, 10}}, false},
+		{"two targets", []report{{targetA, 0, 10}, {targetB, 5, 15}}, true},
+		{"one target twice, a second apart", []report{{targetA, 0, 10}, {targetA, 1000, 1010}}, true},
+		{"one crash that breaks two requests", []report{{targetA, 0, 500}, {targetA, 300, 520}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := NewRecords(1, 2)
+			ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+			for _, p := range c.reports {
+				r.Crashed(start.Add(ms(p.at)), ms(p.at-p.sent), content, p.target)
+			}
+			_, refused := r.Refused(start.Add(time.Minute), content)
+			assert.Equal(t, refused, c.refused)
+		})
+	}
+}
+
+func TestRecordsAreShared(t *testing.T) {
+	one, two := NewRecords(1, 2), NewRecords(2, 2)
+	one.Crashed(start.Add(10*time.Millisecond), 10*time.Millisecond, content, targetA)
+	two.Crashed(start.Add(time.Second), 5*time.Millisecond, content, targetA)
+	now := start.Add(2 * time.Second)
+	for range 2 { // the second time tells nothing new
+		one.Learn(now, two.Share(now))
+		two.Learn(now.Add(20*time.Millisecond), one.Share(now))
+	}
+	for _, r := range []*Records{one, two} {
+		left, refused := r.Refused(now, content)
+		assert.Assert(t, refused)
+		assert.Assert(t, left > Expiry-3*time.Second && left < Expiry, "%s", left)
+		assert.Equal(t, r.size, 2)
+	}
+}
+
+// Two hosts that see one crash count it once, though the other's record comes a
+// little late.
+func TestOneCrashSeenByTwoHosts(t *testing.T) {
+	one, two := NewRecords(1, 2), NewRecords(2, 2)
+	for _, r := range []*Records{one, two} {
+		r.Crashed(start, time.Millisecond, content, targetA)
+	}
+	one.Learn(start.Add(200*time.Millisecond), two.Share(start))
+	_, refused := one.Refused(start.Add(time.Second), content)
+	assert.Assert(t, !refused)
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -32,11 +32,19 @@
 // message, so that a restarted host goes on above its former counter.
 type Beat [2]int64
 
+// CrashID tells records apart: the process that saw the crash, and its count.
+type CrashID struct {
+	Seer   uint64
+	Serial uint64
+}
+
 // Crash is a record of a request content that broke its target.
 type Crash struct {
+	ID          CrashID
 	Fingerprint model.Fingerprint
 	Target      netip.AddrPort
 	Age         time.Duration // since the crash
+	Took        time.Duration // from sending the request to the crash
 }
 
 // Exchange is the whole state that two hosts trade in one message.
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -118,7 +118,7 @@
 		manager:  permit.NewManager(s.Incarnation),
 		members:  member.New(s.Self, s.Seed),
 		keys:     once.NewTable(s.Self, s.Incarnation),
-		crashes:  crash.NewRecords(condemnAt),
+		crashes:  crash.NewRecords(uint64(s.Incarnation), condemnAt),
 		verdicts: map[model.RequestID]chan Verdict{},
 		list:     &model.HostList{},
 	}
@@ -274,9 +274,10 @@
 	return c
 }
 
-// Crashed reports that a target broke while it ran a content.
-func (l *Loop) Crashed(f model.Fingerprint, target netip.AddrPort) {
-	_ = l.post(context.Background(), func(now time.Time) { l.crashes.Crashed(now, f, target) })
+// Crashed reports that a target broke some time ago, while it ran a content that
+// it had been sent took before that.
+func (l *Loop) Crashed(f model.Fingerprint, target netip.AddrPort, ago, took time.Duration) {
+	_ = l.post(context.Background(), func(now time.Time) { l.crashes.Crashed(now.Add(-ago), took, f, target) })
 }
 
 // Reported takes in a target's own account: its incarnation and its load.
