--- /dev/null
+++ b/core/burn/day.go
@@ -0,0 +1,119 @@
+package burn
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Fate is how a request went, as far as its caller is concerned.
+type Fate string
+
+// The fates. Those that are not owed an answer are left out of shares.
+const (
+	InTime  Fate = "InTime"
+	Late    Fate = "Late"
+	Refused Fate = "Refused" // not run, to come back later
+	Failed  Fate = "Failed"
+	NotOwed Fate = "NotOwed" // not allowed, beyond an allowance, or its caller left
+)
+
+// End is how one request ended.
+type End struct {
+	Route   string // empty if none matched
+	Service string // empty if it was refused before one was chosen
+	Status  int
+	Cause   string        // empty for a target's own answer
+	Left    bool          // its caller left
+	First   time.Duration // from arrival to the start of the answer
+	Aim     time.Duration // objective for First
+}
+
+// Fate judges an end. Requests that nobody may send, those beyond an allowance,
+// and those whose caller left are owed nothing.
+func (e *End) Fate() Fate {
+	switch {
+	case e.Route == "", e.Service == "", e.Status == http.StatusTooManyRequests, e.Left:
+		return NotOwed
+	case e.Status == http.StatusServiceUnavailable && e.Cause != "":
+		return Refused
+	case e.Status >= http.StatusBadRequest, e.Cause != "":
+		return Failed
+	case e.First > e.Aim:
+		return Late
+	}
+	return InTime
+}
+
+// Sample is one request of a day.
+type Sample struct {
+	Arrived time.Time
+	Service string
+	Fate    Fate
+	Waited  time.Duration // for targets
+}
+
+// Span is one service in one span of a day.
+type Span struct {
+	Start   time.Time
+	Service string
+	Owed    int
+	InTime  int
+	Late    int
+	Refused int
+	Failed  int
+	Waited  time.Duration // the longest but for one in twenty
+}
+
+// waitedShare of the requests of a span waited no longer than its Waited.
+const waitedShare = 0.95
+
+// Share is the part of a span's requests with a fate; 0 of none.
+func (s *Span) Share(n int) float64 { return float64(n) / float64(max(s.Owed, 1)) }
+
+// Day adds samples up by spans of the given length and by service, in the order
+// of time.
+func Day(samples []Sample, length time.Duration) []Span {
+	type at struct {
+		start   time.Time
+		service string
+	}
+	spans := map[at]*Span{}
+	waits := map[at][]time.Duration{}
+	for _, s := range samples {
+		if s.Fate == NotOwed {
+			continue
+		}
+		k := at{s.Arrived.Truncate(length), s.Service}
+		if spans[k] == nil {
+			spans[k] = &Span{Start: k.start, Service: k.service}
+		}
+		spans[k].add(s.Fate)
+		waits[k] = append(waits[k], s.Waited)
+	}
+	day := make([]Span, 0, len(spans))
+	for k, s := range spans {
+		slices.Sort(waits[k])
+		s.Waited = waits[k][int(waitedShare*float64(len(waits[k])-1))]
+		day = append(day, *s)
+	}
+	slices.SortFunc(day, func(a, b Span) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), a.Start.Compare(b.Start))
+	})
+	return day
+}
+
+func (s *Span) add(f Fate) {
+	s.Owed++
+	switch f {
+	case InTime:
+		s.InTime++
+	case Late:
+		s.Late++
+	case Refused:
+		s.Refused++
+	case Failed, NotOwed:
+		s.Failed++
+	}
+}
--- a/io/cmds/look.go
+++ b/io/cmds/look.go
@@ -63,7 +63,9 @@
 
 type burnCommand struct {
 	JSON  bool             `name:"json" help:"Write JSON instead of a table."`
-	Hosts []netip.AddrPort `arg:"" help:"Operators' addresses of the hosts."`
+	Log   []string         `help:"Log files; instead of asking hosts, draw the day that they tell of." type:"existingfile"`
+	Span  time.Duration    `help:"With logs: what one line of the drawing covers." default:"5s"`
+	Hosts []netip.AddrPort `arg:"" optional:"" help:"Operators' addresses of the hosts."`
 }
 
 // burnReport is the report as JSON.
@@ -72,8 +74,16 @@
 	Unreached []string
 }
 
-// Run adds up the hosts' counts and prints the report.
+// Run adds up the hosts' counts, or what logs tell, and prints the report.
 func (c *burnCommand) Run(e *env) error {
+	switch {
+	case len(c.Log) > 0 && c.Span <= 0:
+		return errors.Errorf("a span of %s draws nothing", c.Span)
+	case len(c.Log) > 0:
+		return c.day(e)
+	case len(c.Hosts) == 0:
+		return errors.New("name the hosts to ask, or with --log their log files")
+	}
 	report, unreached := c.gather(e.ctx)
 	if c.JSON {
 		out := json.NewEncoder(e.out)
--- a/io/edge/counts.go
+++ b/io/edge/counts.go
@@ -39,20 +39,23 @@
 	return &counts{set: metrics.NewSet(), now: now, burnt: burn.NewLog(), services: map[string]bool{}}
 }
 
-// burn counts an outcome for the burn report. Requests that were not owed an
-// answer do not count: those that nobody may send, those beyond an allowance, and
-// those whose caller left.
+// burn counts an outcome for the burn report, unless no answer was owed.
 func (n *counts) burn(o gate.Outcome) {
-	switch {
-	case o.Route == nil, o.Service == "", o.Status == http.StatusTooManyRequests, o.Cause == gate.CauseCallerLeft:
+	if o.Route == nil {
 		return
 	}
-	cause := o.Cause
+	e := burn.End{
+		Route: o.Route.Name, Service: o.Service, Status: o.Status, Cause: o.Cause,
+		Left: o.Cause == gate.CauseCallerLeft, First: o.First, Aim: o.Route.Objective,
+	}
+	fate, cause := e.Fate(), o.Cause
 	switch {
-	case cause == "" && o.Status >= http.StatusBadRequest:
-		cause = causeTell
-	case cause == "" && o.First > o.Route.Objective:
+	case fate == burn.NotOwed:
+		return
+	case fate == burn.Late:
 		cause = causeLate
+	case cause == "" && fate == burn.Failed:
+		cause = causeTell
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -408,9 +408,9 @@
 		Route: c.route, Service: c.service, Status: c.status, Cause: c.cause,
 		First: c.first, Total: total, Sends: c.sends, Zone: c.zone,
 	}
-	route, tier := "", model.Tier(0)
+	route, tier, aim := "", model.Tier(0), time.Duration(0)
 	if c.route != nil {
-		route, tier = c.route.Name, routes.TierOf(c.route, c.workspace)
+		route, tier, aim = c.route.Name, routes.TierOf(c.route, c.workspace), c.route.Objective
 	}
 	if c.workspace != nil {
 		o.Workspace = c.workspace.Name
@@ -425,6 +425,6 @@
 	c.gate.Log.Event("info", "request ended", "Request", c.caller.ID, "Route", route, "Service", c.service,
 		"Workspace", o.Workspace, "Tier", tier, "Status", c.status, "Cause", c.cause, "Target", c.target,
 		"Sends", c.sends, "Ran", c.ran, "Waited", c.waited, "Turn", c.turn, "After", c.after,
-		"Prompt", c.caller.Prompt, "Output", c.caller.Output, "First", c.first, "Total", total,
+		"Prompt", c.caller.Prompt, "Output", c.caller.Output, "Events", c.tokens, "Aim", aim, "First", c.first, "Total", total,
 		"Version", version, "Revision", c.view.Roster.Revision, "Avoided", strings.Join(c.avoid, ","))
 }
