--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -16,9 +16,10 @@
 	Queue        int           // requests that may wait beyond that
 	Step         time.Duration // of one token for the whole batch
 	StepPerSlot  time.Duration // more for each further request
-	First        time.Duration // before the first token of each request
+	First        time.Duration // between reading a prompt and its first token, beside the work of others
 	PromptPerMs  float64       // prompt tokens read in a millisecond
 	Chunk        int           // prompt tokens read between two steps at most
+	PerPairs     time.Duration // for each million pairs of tokens of a prompt, beyond reading it
 	Slowness     float64       // factor on all times
 	Plain        bool          // runs a request for its own work time
 	ColdUntil    time.Time
@@ -57,6 +58,7 @@
 	unread int // prompt tokens
 	unmade int // output tokens
 	begun  bool
+	ready  time.Time // when its first token may be made; zero while its prompt is read
 	endAt  time.Time // of a plain job
 }
 
@@ -141,32 +143,44 @@
 		e.runs = append(e.runs, r)
 	}
 	if !e.profile.Plain && e.at.IsZero() && len(e.runs) > 0 {
-		e.at = now.Add(e.step())
+		e.at = e.step(now)
 	}
 }
 
-// step is the length of the next step: a token for each run that has read its
-// prompt, and a chunk of one prompt.
-func (e *Engine) step() time.Duration {
+// step begins a step and gives its end: a token for each run that has read its
+// prompt, and a chunk of one prompt. With nothing to do it ends when there is.
+func (e *Engine) step(now time.Time) time.Time {
 	d := e.profile.Step + time.Duration(len(e.runs)-1)*e.profile.StepPerSlot
 	e.reading, e.stepped = nil, e.stepped[:0]
+	var wake time.Time
 	for _, r := range e.runs {
-		if r.unread == 0 {
+		switch {
+		case r.begun:
 			e.stepped = append(e.stepped, r)
+		case r.unread == 0 && (wake.IsZero() || r.ready.Before(wake)):
+			wake = r.ready
 		}
 	}
 	for _, r := range e.runs {
 		if r.unread > 0 {
 			e.reading = r
 			n := min(r.unread, e.profile.Chunk)
-			d += time.Duration(float64(n) / e.profile.PromptPerMs * float64(time.Millisecond))
-			if n == r.unread {
-				d += e.profile.First
-			}
+			d += time.Duration(float64(n)/e.profile.PromptPerMs*float64(time.Millisecond)) + e.pairs(r, n)
 			break
 		}
 	}
-	return e.scaled(d)
+	if e.reading == nil && len(e.stepped) == 0 {
+		return wake
+	}
+	return now.Add(e.scaled(d))
+}
+
+// pairs is the time that reading n more tokens of a prompt takes for looking at
+// those before them.
+func (e *Engine) pairs(r *run, n int) time.Duration {
+	before := float64(r.Prompt - r.unread)
+	after := before + float64(n)
+	return time.Duration((after*after - before*before) / 1e6 * float64(e.profile.PerPairs))
 }
 
 // Next is when something happens next; false when nothing will.
@@ -218,12 +232,17 @@
 	if r := e.reading; r != nil {
 		r.unread -= min(r.unread, e.profile.Chunk)
 		if r.unread == 0 {
-			e.token(at, r)
+			r.ready = at.Add(e.scaled(e.profile.First))
 		}
 	}
 	for _, r := range e.stepped {
 		e.token(at, r)
 	}
+	for _, r := range e.runs {
+		if !r.begun && r.unread == 0 && !r.ready.After(at) {
+			e.token(at, r)
+		}
+	}
 	kept := make([]*run, 0, len(e.runs))
 	for _, r := range e.runs {
 		if r.unmade > 0 {
--- a/core/replay/pattern.go
+++ b/core/replay/pattern.go
@@ -81,6 +81,18 @@
 	Eager float64
 	// Leave is the share of callers that leave within half of their objective.
 	Leave float64
+	// Recorded arrivals, in the order of time, are played instead of drawn ones.
+	// Callers that come back are among them, so that a refusal is final.
+	Recorded []Arrival
+}
+
+// Arrival is one recorded request.
+type Arrival struct {
+	At     time.Duration // from the start
+	Class  string
+	Prompt int           // tokens
+	Output int           // tokens
+	Work   time.Duration // of a plain service
 }
 
 // The two deployments' shapes: engines whose speeds differ, before a plain
@@ -92,7 +104,7 @@
 			Name: "engine", Targets: 12, Slowness: []float64{0.68, 0.68, 3},
 			Profile: engine.Profile{
 				Slots: 4, Queue: 24, Step: 3700 * time.Microsecond, StepPerSlot: 19 * time.Microsecond,
-				First: time.Millisecond, PromptPerMs: 63.9, Chunk: 4096,
+				First: time.Millisecond, PromptPerMs: 63.9, Chunk: 4096, PerPairs: 367 * time.Microsecond,
 			},
 		},
 		{Name: "plain", Targets: 3, Profile: engine.Profile{Slots: 6, Queue: 24, Plain: true}},
@@ -113,7 +125,7 @@
 			Name: "engine", Targets: 12, Slowness: []float64{0.68, 0.68, 3},
 			Profile: engine.Profile{
 				Slots: 5, Queue: 30, Step: 5610 * time.Microsecond, StepPerSlot: 121 * time.Microsecond,
-				First: 61 * time.Millisecond, PromptPerMs: 54.6, Chunk: 4096,
+				First: 61 * time.Millisecond, PromptPerMs: 54.6, Chunk: 4096, PerPairs: 248 * time.Microsecond,
 			},
 		},
 		{Name: "plain", Targets: 4, Profile: engine.Profile{Slots: 6, Queue: 24, Plain: true}},
@@ -184,6 +196,7 @@
 	aimAt   time.Time
 	leaveAt time.Time
 	eager   bool
+	final   bool // its caller does not come back
 	tries   int // of the caller
 	runs    int
 	sends   int
@@ -208,6 +221,32 @@
 
 // arrivals draws the requests of a pattern in the order of time.
 func (p *Pattern) arrivals(start time.Time, r *rand.Rand) []*request {
+	all := p.recorded(start)
+	if all == nil {
+		all = p.draw(start, r)
+	}
+	for i, q := range all {
+		q.id = uint64(i + 1)
+	}
+	return all
+}
+
+func (p *Pattern) recorded(start time.Time) []*request {
+	classes := map[string]*Class{}
+	for c := range p.Classes {
+		classes[p.Classes[c].Name] = &p.Classes[c]
+	}
+	var all []*request
+	for _, a := range p.Recorded {
+		class := classes[a.Class]
+		q := &request{class: class, at: start.Add(a.At), final: true, job: engine.Job{Prompt: a.Prompt, Output: a.Output, Work: a.Work}}
+		q.aimAt, q.leaveAt = q.at.Add(class.Aim), q.at.Add(class.Patience)
+		all = append(all, q)
+	}
+	return all
+}
+
+func (p *Pattern) draw(start time.Time, r *rand.Rand) []*request {
 	var all []*request
 	for c := range p.Classes {
 		class := &p.Classes[c]
@@ -229,9 +268,6 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b *request) int { return a.at.Compare(b.at) })
-	for i, q := range all {
-		q.id = uint64(i + 1)
-	}
 	return all
 }
 
--- /dev/null
+++ b/core/replay/record.go
@@ -0,0 +1,160 @@
+package replay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"yuccadoor/core/burn"
+)
+
+// Record is one request of a measured day.
+type Record struct {
+	Arrived time.Time
+	Class   string
+	Service string
+	Urgency uint8 // 0 first
+	Target  string
+	Fate    burn.Fate
+	Aim     time.Duration
+	Waited  time.Duration
+	First   time.Duration
+	Prompt  int // tokens; 0 at a plain service
+	Events  int // of its stream
+}
+
+// Shape is a pattern's services and classes, from which a measured day takes what
+// logs do not tell: how fast targets are and how patient callers.
+type Shape struct {
+	Services []Service
+	Classes  []Class
+	PerEvent int // tokens in one event of a stream
+}
+
+// Shapes gives the named shape; false if there is none.
+func Shapes(name string) (Shape, bool) {
+	s := Shape{}
+	switch name {
+	case "half":
+		s.Services, s.Classes = halfWorth()
+		s.PerEvent = 5
+	case "tenth":
+		s.Services, s.Classes = tenthWorth()
+		s.PerEvent = 3
+	default:
+		return s, false
+	}
+	return s, true
+}
+
+// Measured makes a pattern of a measured day, and tells how each of its classes
+// fared. Services get as many targets as were seen; requests that were not served
+// get the median size of their class; a class of which none was served is left out.
+func Measured(shape Shape, day []Record) (Pattern, []Count) {
+	known := map[string]bool{} // classes of which some were served
+	for _, r := range day {
+		known[r.Class] = known[r.Class] || served(r)
+	}
+	day = slices.DeleteFunc(slices.Clone(day), func(r Record) bool { return r.Fate == burn.NotOwed || !known[r.Class] })
+	slices.SortStableFunc(day, func(a, b Record) int { return a.Arrived.Compare(b.Arrived) })
+	p := Pattern{Name: "measured", About: "a measured day"}
+	if len(day) == 0 {
+		return p, nil
+	}
+	byClass := map[string][]Record{}
+	targets := map[string]map[string]bool{}
+	for _, r := range day {
+		byClass[r.Class] = append(byClass[r.Class], r)
+		if targets[r.Service] == nil {
+			targets[r.Service] = map[string]bool{}
+		}
+		if r.Target != "" {
+			targets[r.Service][r.Target] = true
+		}
+		p.Length = r.Arrived.Sub(day[0].Arrived)
+	}
+	for name, seen := range targets {
+		plain := !slices.ContainsFunc(day, func(r Record) bool { return r.Service == name && r.Prompt > 0 })
+		at := slices.IndexFunc(shape.Services, func(s Service) bool { return s.Profile.Plain == plain })
+		s := shape.Services[at]
+		s.Name, s.Targets = name, max(len(seen), 1)
+		p.Services = append(p.Services, s)
+	}
+	slices.SortFunc(p.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	var counts []Count
+	typical := map[string]Arrival{}
+	for name, records := range byClass {
+		p.Classes = append(p.Classes, class(shape, records))
+		counts = append(counts, count(name, records))
+		typical[name] = typicalOf(shape, records)
+	}
+	slices.SortFunc(p.Classes, func(a, b Class) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(counts, func(a, b Count) int { return cmp.Compare(a.Class, b.Class) })
+	for _, r := range day {
+		a := typical[r.Class]
+		a.At, a.Prompt = r.Arrived.Sub(day[0].Arrived), r.Prompt
+		if served(r) {
+			a.Output, a.Work = r.Events*shape.PerEvent, r.First-r.Waited
+		}
+		p.Recorded = append(p.Recorded, a)
+	}
+	return p, counts
+}
+
+func served(r Record) bool { return r.Fate == burn.InTime || r.Fate == burn.Late }
+
+// class is the class of the shape with the nearest objective on the same kind of
+// service, under the name, urgency and service that were seen.
+func class(shape Shape, records []Record) Class {
+	first := records[0]
+	plain := first.Prompt == 0
+	best := slices.MinFunc(shape.Classes, func(a, b Class) int {
+		return cmp.Or(cmp.Compare(unlike(a, plain), unlike(b, plain)), cmp.Compare((a.Aim-first.Aim).Abs(), (b.Aim-first.Aim).Abs()))
+	})
+	best.Name, best.Service, best.Aim, best.Class = first.Class, first.Service, first.Aim, first.Urgency
+	return best
+}
+
+// unlike is 0 for a class on the wanted kind of service, else 1.
+func unlike(c Class, plain bool) int {
+	if (c.Work > 0) == plain {
+		return 0
+	}
+	return 1
+}
+
+func count(name string, records []Record) Count {
+	c := Count{Class: name, Asked: len(records)}
+	var firsts []time.Duration
+	for _, r := range records {
+		switch r.Fate {
+		case burn.InTime:
+			c.InTime++
+		case burn.Late:
+			c.Late++
+		case burn.Refused:
+			c.Refused++
+		default:
+			c.Failed++
+		}
+		if served(r) {
+			firsts = append(firsts, r.First)
+		}
+	}
+	c.Median, c.Slow = Quantiles(firsts)
+	return c
+}
+
+// typicalOf is an arrival with the median sizes of those that were served.
+func typicalOf(shape Shape, records []Record) Arrival {
+	var works, outputs []time.Duration
+	for _, r := range records {
+		if served(r) {
+			works = append(works, r.First-r.Waited)
+			outputs = append(outputs, time.Duration(r.Events*shape.PerEvent))
+		}
+	}
+	work, _ := Quantiles(works)
+	output, _ := Quantiles(outputs)
+	return Arrival{Class: records[0].Class, Work: work, Output: int(output)}
+}
--- /dev/null
+++ b/core/replay/record_test.go
@@ -0,0 +1,68 @@
+package replay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"yuccadoor/core/burn"
+)
+
+// A day that the model itself has made, recorded, is played again as it was.
+func TestRecordedDayIsPlayedAsItWas(t *testing.T) {
+	shape, ok := Shapes("half")
+	assert.Assert(t, ok)
+	start := time.Unix(1_000_000, 0)
+	var day []Record
+	for n := range 400 {
+		r := Record{
+			Arrived: start.Add(time.Duration(n) * 25 * time.Millisecond), Class: "review", Service: "lm",
+			Target: []string{"a", "b", "c"}[n%3], Fate: burn.InTime, Aim: 700 * time.Millisecond, Prompt: 1000, Events: 4,
+			First: 30 * time.Millisecond,
+		}
+		switch {
+		case n%4 == 3:
+			r = Record{
+				Arrived: r.Arrived, Class: "stock", Service: "shop", Target: "s", Fate: burn.InTime, Aim: 90 * time.Millisecond,
+				Waited: 2 * time.Millisecond, First: 12 * time.Millisecond, Urgency: 2,
+			}
+		case n%40 == 0:
+			r.Fate, r.Events, r.First = burn.Refused, 0, 0
+		case n%41 == 0:
+			r.Fate = burn.NotOwed
+		}
+		day = append(day, r)
+	}
+	day = append(day, Record{Arrived: start, Class: "never", Service: "shop", Fate: burn.Failed})
+
+	p, counts := Measured(shape, day)
+	assert.Equal(t, len(p.Services), 2)
+	assert.Equal(t, p.Services[0].Name, "lm")
+	assert.Equal(t, p.Services[0].Targets, 3)
+	assert.Assert(t, p.Services[1].Profile.Plain)
+	assert.Equal(t, len(counts), 2)
+	review := counts[0]
+	assert.Equal(t, review.Class, "review")
+	assert.Equal(t, review.Refused, 10)
+	assert.Equal(t, review.Median, 30*time.Millisecond)
+	assert.Equal(t, p.Classes[0].Aim, 700*time.Millisecond)
+	for _, a := range p.Recorded {
+		if a.Class == "review" {
+			assert.Equal(t, a.Output, 4*shape.PerEvent) // also of those that were refused
+		} else {
+			assert.Equal(t, a.Work, 10*time.Millisecond)
+		}
+	}
+	r := Play(p, brokerPolicy, 1)
+	for i, c := range r.Classes {
+		assert.Equal(t, c.Asked, counts[i].Asked)
+		assert.Equal(t, c.InTime, c.Asked) // a calm day
+	}
+}
+
+func TestNoRecordsNoDay(t *testing.T) {
+	shape, _ := Shapes("tenth")
+	_, counts := Measured(shape, nil)
+	assert.Equal(t, len(counts), 0)
+}
--- a/core/replay/replay.go
+++ b/core/replay/replay.go
@@ -35,6 +35,9 @@
 	Earned  float64
 	Owed    float64
 	Wasted  int // prompt tokens read for nothing
+	// Median and Slow are times to the start of the answers: half and nine in
+	// ten of those that were served began no later.
+	Median, Slow time.Duration
 }
 
 // Result is how a pattern fared under a policy.
@@ -256,7 +259,7 @@
 		after, most = eagerRetry, eagerTries
 	}
 	after = min(after, q.leaveAt.Sub(p.now)/3)
-	if q.tries >= most || after <= 0 {
+	if q.tries >= most || after <= 0 || q.final {
 		q.closed, q.outcome = true, refused
 		return
 	}
--- a/core/replay/result.go
+++ b/core/replay/result.go
@@ -69,13 +69,40 @@
 		owed += q.owed()
 	}
 	for _, c := range p.pattern.Classes {
-		r.Classes = append(r.Classes, *counts[c.Name])
+		n := counts[c.Name]
+		n.Median, n.Slow = p.firsts(c.Name)
+		r.Classes = append(r.Classes, *n)
 	}
 	r.Worth = earned / owed
 	r.Bound = p.bound() / owed
 	return r
 }
 
+// slowShare of the answers began no later than the time Count.Slow.
+const slowShare = 0.9
+
+// firsts gives the times to the start of a class's answers.
+func (p *player) firsts(class string) (median, slow time.Duration) {
+	var all []time.Duration
+	for _, q := range p.all {
+		if q.class.Name == class && (q.outcome == inTime || q.outcome == late) {
+			all = append(all, q.began.Sub(q.at))
+		}
+	}
+	return Quantiles(all)
+}
+
+// Quantiles gives the median of times, and that which nine in ten do not pass; 0
+// of none.
+func Quantiles(all []time.Duration) (median, slow time.Duration) {
+	if len(all) == 0 {
+		return 0, 0
+	}
+	slices.Sort(all)
+	last := float64(len(all) - 1)
+	return all[int(last/2)], all[int(last*slowShare)]
+}
+
 // bound is what a scheduler that knows all sizes and arrivals could earn at most:
 // in each window of overload, the requests that arrived in it share the work that
 // the engines do until the last of them would be late, the worthiest first and
--- a/io/cmds/day_test.go
+++ b/io/cmds/day_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 )
 
-const ended = `Time=2026-07-28T01:02:%02dZ Level=info Event="request ended" Request=q Route=r Service=lm Workspace="" Tier=1 ` +
+const ended = `Time=2026-07-28T01:02:%02dZ Level=info Event="request ended" Request=q Route=r Service=lm Workspace="" Tier=1 Class=0 ` +
 	`Status=%d Cause=%q Target="" Waited=%s Prompt=12 Output=30 Events=0 Aim=800ms First=%s Total=1s` + "\n"
 
 func TestDayIsDrawnFromLogs(t *testing.T) {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -408,9 +408,10 @@
 		Route: c.route, Service: c.service, Status: c.status, Cause: c.cause,
 		First: c.first, Total: total, Sends: c.sends, Zone: c.zone,
 	}
-	route, tier, aim := "", model.Tier(0), time.Duration(0)
+	route, tier, class, aim := "", model.Tier(0), model.Tier(0), time.Duration(0)
 	if c.route != nil {
-		route, tier, aim = c.route.Name, routes.TierOf(c.route, c.workspace), c.route.Objective
+		route, class, aim = c.route.Name, c.route.Tier, c.route.Objective
+		tier = routes.TierOf(c.route, c.workspace)
 	}
 	if c.workspace != nil {
 		o.Workspace = c.workspace.Name
@@ -423,7 +424,7 @@
 		version = c.view.Config.Version
 	}
 	c.gate.Log.Event("info", "request ended", "Request", c.caller.ID, "Route", route, "Service", c.service,
-		"Workspace", o.Workspace, "Tier", tier, "Status", c.status, "Cause", c.cause, "Target", c.target,
+		"Workspace", o.Workspace, "Tier", tier, "Class", class, "Status", c.status, "Cause", c.cause, "Target", c.target,
 		"Sends", c.sends, "Ran", c.ran, "Waited", c.waited, "Turn", c.turn, "After", c.after,
 		"Prompt", c.caller.Prompt, "Output", c.caller.Output, "Events", c.tokens, "Aim", aim, "First", c.first, "Total", total,
 		"Version", version, "Revision", c.view.Roster.Revision, "Avoided", strings.Join(c.avoid, ","))
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -32,7 +32,8 @@
 	Workspace string
 	Target    string // the last one; empty if none was reached
 	Cause     string // of a refusal or failure; empty for none
-	Tier      int
+	Tier      int // of the workspace, or of the route
+	Class     int // of the route
 	Status    int
 	Prompt    int           // tokens
 	Output    int           // most output tokens
@@ -94,7 +95,7 @@
 	r := Request{
 		ID: fields["Request"], Route: fields["Route"], Service: fields["Service"],
 		Workspace: fields["Workspace"], Target: fields["Target"], Cause: fields["Cause"],
-		Tier: d.number("Tier"), Status: d.number("Status"), Prompt: d.number("Prompt"),
+		Tier: d.number("Tier"), Class: d.number("Class"), Status: d.number("Status"), Prompt: d.number("Prompt"),
 		Output: d.number("Output"), Events: d.number("Events"),
 		Aim: d.duration("Aim"), Waited: d.duration("Waited"), First: d.duration("First"), Total: d.duration("Total"),
 	}
--- a/io/trace/trace_test.go
+++ b/io/trace/trace_test.go
@@ -13,7 +13,7 @@
 )
 
 const line = `   0.18 edge-a Time=2026-07-28T01:02:16.5Z Level=info Event="request ended" Request=q1 Route=review Service=lm ` +
-	`Workspace="" Tier=1 Status=503 Cause=Overload Target="" Waited=897.5µs Prompt=12 Output=30 Events=0 Aim=800ms First=0s Total=1.5s`
+	`Workspace="" Tier=1 Class=2 Status=503 Cause=Overload Target="" Waited=897.5µs Prompt=12 Output=30 Events=0 Aim=800ms First=0s Total=1.5s`
 
 func TestRequestsAreRead(t *testing.T) {
 	all, err := Read(strings.NewReader("starting\n" + line + "\n   0.2 edge-a Time=x Event=\"host started\"\n"))
@@ -21,7 +21,7 @@
 	assert.Equal(t, len(all), 1)
 	assert.DeepEqual(t, all[0], Request{
 		Ended: time.Date(2026, 7, 28, 1, 2, 16, 500_000_000, time.UTC), ID: "q1", Route: "review", Service: "lm",
-		Cause: "Overload", Tier: 1, Status: 503, Prompt: 12, Output: 30, Aim: 800 * time.Millisecond,
+		Cause: "Overload", Tier: 1, Class: 2, Status: 503, Prompt: 12, Output: 30, Aim: 800 * time.Millisecond,
 		Waited: 897500 * time.Nanosecond, Total: 1500 * time.Millisecond,
 	})
 	assert.Equal(t, all[0].Fate(), burn.Refused)
