Soak: links between hosts and to the store are harmed; more promises are checked

Cause: nothing came between hosts in the soak, and three of its parts could not see anything: a server stayed away for at most 2.5 s where a request was a finding after 5 s; how much a cold server got was not looked at; the store that turns one host away never met that host, since all called it from one address.

Leaving servers and zones are also played alone, with the platform's 2 s as bound. Checked besides: cold engines (1.5 times the rate and 5, any second), a bounded workspace (8 s, 1.25 times and 10), repeats by service (0.2 and 20 in 10 s).

--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"yuccadoor/core/spread"
 	"yuccadoor/io/coord"
 	"yuccadoor/io/edge"
@@ -17,11 +19,12 @@
 )
 
 type edgeCommand struct {
-	Node      string `help:"Settings file that the platform writes; by default where it says that it is."`
-	AdminPort uint16 `help:"Port on which operators are served; 0 for none." default:"0"`
-	LogLevel  string `help:"Least level of log lines: debug, info, warn or error." default:"info"`
-	Policy    string `help:"How targets are chosen: broker, or for measuring without coordination round-robin, least or two-choices." default:"broker" enum:"broker,round-robin,least,two-choices"`
-	Check     bool   `help:"Only check the settings file and report every finding."`
+	Node       string `help:"Settings file that the platform writes; by default where it says that it is."`
+	AdminPort  uint16 `help:"Port on which operators are served; 0 for none." default:"0"`
+	LogLevel   string `help:"Least level of log lines: debug, info, warn or error." default:"info"`
+	PeerListen string `help:"Address on which other hosts are served, if they reach it at another one than the settings file names."`
+	Policy     string `help:"How targets are chosen: broker, or for measuring without coordination round-robin, least or two-choices." default:"broker" enum:"broker,round-robin,least,two-choices"`
+	Check      bool   `help:"Only check the settings file and report every finding."`
 }
 
 // Run runs an entry host on the users' platform until it is told to stop, then
@@ -46,6 +49,11 @@
 	if p := spread.Policy(c.Policy); p.Valid() {
 		node.Edge.Spread = p
 	}
+	if c.PeerListen != "" {
+		if node.Edge.PeerListen, err = netip.ParseAddrPort(c.PeerListen); err != nil {
+			return errors.Wrap(err, "read --peer-listen")
+		}
+	}
 	if c.AdminPort != 0 {
 		node.Edge.Admin = netip.AddrPortFrom(node.Edge.Peer.Addr(), c.AdminPort)
 	}
--- a/io/cmds/soak.go
+++ b/io/cmds/soak.go
@@ -15,6 +15,7 @@
 	Runs   int           `help:"Runs with seeds in a row." default:"1"`
 	Hosts  int           `help:"Entry hosts, each a process of its own." default:"4"`
 	Length time.Duration `help:"How long faults are injected in a run." default:"20s"`
+	Only   []string      `help:"Kinds of fault to play, by the names that a run shows; all by default."`
 	Quiet  bool          `help:"Do not show each fault."`
 }
 
@@ -26,7 +27,7 @@
 	}
 	broken := 0
 	for i := range c.Runs {
-		s := soak.Settings{Program: program, Hosts: c.Hosts, Seed: c.Seed + uint64(i), Length: c.Length}
+		s := soak.Settings{Program: program, Hosts: c.Hosts, Seed: c.Seed + uint64(i), Length: c.Length, Only: c.Only}
 		if !c.Quiet {
 			s.Out = e.out
 		}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -62,7 +62,8 @@
 	Front       netip.AddrPort // where callers are served
 	Ready       netip.AddrPort // where the balancer asks
 	ReadyPath   string
-	Peer        netip.AddrPort // where other hosts are served
+	Peer        netip.AddrPort // where other hosts reach this one
+	PeerListen  netip.AddrPort // where they are served; invalid for the same
 	Admin       netip.AddrPort // where operators are served; invalid for nowhere
 	Seeds       []netip.AddrPort
 	Power       int // processor share in hundredths of a core
@@ -178,7 +179,11 @@
 }
 
 func (h *Host) startMesh(ctx context.Context, k *kernel.Kernel) (any, kernel.Cleanup, error) {
-	listener, err := net.Listen("tcp", h.settings.Peer.String())
+	at := h.settings.Peer
+	if h.settings.PeerListen.IsValid() {
+		at = h.settings.PeerListen
+	}
+	listener, err := net.Listen("tcp", at.String())
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "listen for other hosts")
 	}
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
+	"time"
 
 	"yuccadoor/platform/stand"
 )
@@ -46,12 +48,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	runs := map[string][]stand.Run{}
+	var bounded []time.Time
 	for _, s := range r.servers {
 		for _, x := range s.Runs() {
 			runs[x.ID] = append(runs[x.ID], x)
+			if x.Header.Get("X-Yuccadoor-Tenant") == stand.Bounded {
+				bounded = append(bounded, x.At)
+			}
 		}
-		r.checkArrivals(s)
+		r.checkLeft(s)
+		r.checkCold(s)
 	}
+	rate := float64(boundedRate)
+	r.checkRate("the bounded workspace", bounded, stand.QuotaWindow,
+		(rate*stand.QuotaWindow.Seconds()+rate)*(1+stand.QuotaOver)+stand.QuotaSlack)
+	r.checkRepeats(runs)
 	for _, q := range r.requests {
 		r.report.Requests++
 		r.checkRequest(q, runs[q.id])
@@ -120,18 +131,64 @@
 	}
 }
 
-// checkArrivals looks at what reached a server after it had left, and while it
-// was cold. While faults keep hosts from hearing of it the bound is longer.
-func (r *run) checkArrivals(s *stand.Server) {
+// checkLeft looks at what reached a server after it had left.
+func (r *run) checkLeft(s *stand.Server) {
 	for _, m := range r.marks {
 		if m.server != s.ID {
 			continue
 		}
-		from := m.at.Add(leaveBound + touch)
 		for _, at := range s.Arrivals() {
-			if at.After(from) && at.Before(m.until) {
-				r.found("%s got a request %s after it had left", s.ID, at.Sub(m.at))
+			if at.Sub(m.left.From) > leaveBound && at.Before(m.left.To) {
+				r.found("%s got a request %s after it had left", s.ID, at.Sub(m.left.From))
 			}
 		}
 	}
 }
+
+// checkCold looks at how much a server got while it was cold.
+func (r *run) checkCold(s *stand.Server) {
+	if s.Service != "engine" {
+		return
+	}
+	for _, c := range s.Colds() {
+		came := slices.DeleteFunc(s.Arrivals(), func(at time.Time) bool { return at.Before(c.From) || at.After(c.To) })
+		r.checkRate("cold "+s.ID, came, time.Second, coldPace*stand.ColdOver+stand.ColdSlack)
+	}
+}
+
+// checkRate looks for a window in which more came than may.
+func (r *run) checkRate(what string, came []time.Time, window time.Duration, most float64) {
+	slices.SortFunc(came, time.Time.Compare)
+	first := 0
+	for i, at := range came {
+		for at.Sub(came[first]) >= window {
+			first++
+		}
+		if n := i - first + 1; float64(n) > most {
+			r.found("%s got %d requests within %s, of at most %v", what, n, window, most)
+			return
+		}
+	}
+}
+
+// checkRepeats looks at the runs beyond the first of each request, by service. The
+// load is steady, so that the requests of a window are those of its length.
+func (r *run) checkRepeats(runs map[string][]stand.Run) {
+	repeats := map[string][]time.Time{}
+	asked := map[string]int{}
+	for _, q := range r.requests {
+		service := q.route.Service
+		asked[service]++
+		for i, x := range runs[q.id] {
+			if i > 0 {
+				repeats[service] = append(repeats[service], x.At)
+			}
+		}
+	}
+	length := time.Since(r.start).Seconds()
+	for service, came := range repeats {
+		inWindow := float64(asked[service]) * min(stand.RetryWindow.Seconds()/length, 1)
+		r.checkRate("service "+service+", beyond the first of each request,", came, stand.RetryWindow,
+			inWindow*stand.RetryRatio+stand.RetrySlack)
+	}
+}
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -21,6 +22,12 @@
 	leaveBound = 2 * time.Second
 	// touch is how long after a fault hosts may still act on what they knew.
 	touch = 3 * time.Second
+	// leaveLength is how long a server or zone stays away when that is checked.
+	leaveLength = leaveBound + 2*time.Second
+	// coldLength is how long a server is cold that has come back.
+	coldLength = 3 * time.Second
+	// aloneShare is one in so many faults that is played without any other.
+	aloneShare = 8
 )
 
 // fault is one kind of fault; it returns what undoes it.
@@ -29,6 +36,16 @@
 	do   func(r *run, n int) (undo func())
 }
 
+// kinds are the faults that may come at random in this run.
+func (r *run) kinds() []fault {
+	return slices.DeleteFunc(faultKinds(), func(k fault) bool {
+		return len(r.settings.Only) > 0 && !slices.Contains(r.settings.Only, k.name)
+	})
+}
+
+// alone is the name of the fault that is played without any other.
+const alone = "servers leave, alone"
+
 func faultKinds() []fault {
 	return []fault{
 		{"host killed", (*run).killHost},
@@ -39,21 +56,36 @@
 		{"store turns one host away", (*run).failStoreForOne},
 		{"store forgets its history", (*run).forget},
 		{"servers misbehave", (*run).misbehave},
-		{"server leaves", (*run).leave},
+		{"server leaves and comes back cold", (*run).leave},
 		{"zone taken out", (*run).takeOut},
 		{"server turns cold", (*run).cool},
 		{"keys changed", (*run).changeKeys},
+		{"zones cannot reach each other", (*run).cutZones},
+		{"host hears no other host", (*run).cutInto},
+		{"connections to a host reset", (*run).resetInto},
+		{"slow links between hosts", (*run).slowLinks},
+		{"host reads the store over a silent link", (*run).silenceStore},
 	}
 }
 
 // faults injects faults at random, several at a time, until the run's length is
 // over, and undoes them all.
 func (r *run) faults(ctx context.Context) {
-	kinds := faultKinds()
+	kinds := r.kinds()
 	end := time.Now().Add(r.settings.Length)
 	done := make(chan struct{}, 64)
 	under := 0
-	for time.Now().Before(end) && ctx.Err() == nil {
+	finish := func() {
+		for ; under > 0; under-- {
+			<-done
+		}
+	}
+	for n := 1; time.Now().Before(end) && ctx.Err() == nil; n++ {
+		if n%aloneShare == 0 || len(kinds) == 0 {
+			finish()
+			r.leaveAlone()
+			continue
+		}
 		k := kinds[r.random.IntN(len(kinds))]
 		n := r.random.IntN(1 << 16)
 		lasts := faultLeast + time.Duration(r.random.Int64N(int64(faultMost-faultLeast)))
@@ -69,9 +101,7 @@
 		}()
 		time.Sleep(time.Duration(r.random.Int64N(int64(gapMost))))
 	}
-	for range under {
-		<-done
-	}
+	finish()
 	r.mu.Lock()
 	r.calm = time.Now()
 	r.mu.Unlock()
@@ -177,44 +207,99 @@
 	}
 }
 
-// leave lets a server drain, and come back later.
+// leave lets a server drain, and come back later, cold.
 func (r *run) leave(n int) func() {
 	s := r.servers[n%len(r.servers)]
 	s.Drain(r.store)
-	at := time.Now()
 	return func() {
-		r.mark(s.ID, at)
+		s.Cool(coldLength)
 		s.Register(r.store)
 	}
 }
 
 func (r *run) takeOut(n int) func() {
 	z := zone(n)
-	r.store.TakeOut(z, true)
-	at := time.Now()
-	return func() {
-		for _, s := range r.servers {
-			if s.Zone == z {
-				r.mark(s.ID, at)
-			}
-		}
-		r.store.TakeOut(z, false)
-	}
+	r.store.TakeOut(z, r.settings.Tamper != "Left")
+	return func() { r.store.TakeOut(z, false) }
 }
 
-func (r *run) mark(server string, from time.Time) {
+// leaveAlone lets a server, or all of a zone, leave while nothing else is wrong,
+// and notes it: whoever could hear of it must send nothing more there.
+func (r *run) leaveAlone() {
+	time.Sleep(touch)
+	n := r.random.IntN(1 << 16)
+	z, whole := zone(n), n%4 < 2
+	left := r.servers[n%len(r.servers) : n%len(r.servers)+1]
+	undo := r.leave
+	if whole {
+		left = slices.DeleteFunc(slices.Clone(r.servers), func(s *stand.Server) bool { return s.Zone != z })
+		undo = r.takeOut
+	}
+	r.note("%6.2f s %s: %d", time.Since(r.start).Seconds(), alone, len(left))
+	back := undo(n)
+	from := time.Now()
+	time.Sleep(leaveLength)
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.marks = append(r.marks, mark{at: from, server: server, until: time.Now()})
+	for _, s := range left {
+		r.marks = append(r.marks, mark{s.ID, stand.Span{From: from, To: time.Now()}})
+	}
+	r.mu.Unlock()
+	back()
 }
 
+// cool turns an engine cold; plain servers have no bound for it.
 func (r *run) cool(n int) func() {
-	s := r.servers[n%len(r.servers)]
-	s.Cool(touch)
+	engines := slices.DeleteFunc(slices.Clone(r.servers), func(s *stand.Server) bool { return s.Service != "engine" })
+	s := engines[n%len(engines)]
+	s.Cool(coldLength)
 	s.Register(r.store)
 	return nil
 }
 
+// cutZones silences all links between the zones, in both directions.
+func (r *run) cutZones(int) func() {
+	set := func(w way) {
+		for i, p := range r.into {
+			for j, h := range r.hosts {
+				if zone(i) != zone(j) {
+					p.set(h.node.Front.Addr(), w)
+				}
+			}
+		}
+	}
+	set(silent)
+	return func() { set(sound) }
+}
+
+// cutInto silences one direction: the host is heard by others but hears none.
+func (r *run) cutInto(n int) func() {
+	p := r.into[n%len(r.into)]
+	p.set(netip.Addr{}, silent)
+	return func() { p.set(netip.Addr{}, sound) }
+}
+
+func (r *run) resetInto(n int) func() {
+	r.into[n%len(r.into)].breakAll(netip.Addr{})
+	return nil
+}
+
+func (r *run) slowLinks(int) func() {
+	for _, p := range r.into {
+		p.set(netip.Addr{}, slow)
+	}
+	return func() {
+		for _, p := range r.into {
+			p.set(netip.Addr{}, sound)
+		}
+	}
+}
+
+func (r *run) silenceStore(n int) func() {
+	p := r.reading[n%len(r.reading)]
+	p.set(netip.Addr{}, silent)
+	return func() { p.set(netip.Addr{}, sound) }
+}
+
 // changeKeys publishes a version with a further key; callers use it at once.
 func (r *run) changeKeys(int) func() {
 	r.mu.Lock()
--- a/io/soak/process.go
+++ b/io/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"os/exec"
 	"sync"
@@ -16,6 +17,7 @@
 // process is one host under test. Its methods may be called by any goroutine.
 type process struct {
 	program string
+	listen  netip.AddrPort // where other hosts are served, behind a proxy
 	file    string
 	log     string
 	node    stand.Node
@@ -42,7 +44,7 @@
 		return errors.Wrap(err, "open a host's log")
 	}
 	defer log.Close()
-	c := exec.Command(p.program, "edge", "--node", p.file)
+	c := exec.Command(p.program, "edge", "--node", p.file, "--peer-listen", p.listen.String())
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		return errors.Wrap(err, "start a host")
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
 	"sync"
 	"time"
 
@@ -30,7 +31,11 @@
 	recoverWithin = 12 * time.Second
 	grace         = 4 * time.Second
 	zones         = 2 // availability zones
-	coldPace      = 4 // requests a second that a cold engine bears
+	// coldPace is how many requests a second a cold engine bears, and boundedRate
+	// how many the bounded workspace may send: both well below the load.
+	coldPace    = 1
+	boundedRate = 4
+	boundedPart = 5 // of so many requests one is the bounded workspace's
 )
 
 // Settings are what a run needs.
@@ -40,6 +45,8 @@
 	Seed    uint64
 	Length  time.Duration
 	Out     io.Writer
+	// Only names the kinds of fault that are played; empty for all.
+	Only []string
 	// Tamper lets the stand-ins break a promise, to show that the check sees it.
 	Tamper string
 }
@@ -62,6 +69,8 @@
 	store    *stand.Store
 	servers  []*stand.Server
 	hosts    []*process
+	into     []*proxy // before each host, for other hosts
+	reading  []*proxy // before the store, for each host
 	deploy   stand.Deployment
 	start    time.Time
 
@@ -81,11 +90,10 @@
 	answered time.Time
 }
 
-// mark is a change after which something must no longer happen.
+// mark is that a server had left, with nothing else wrong, and must get nothing.
 type mark struct {
-	at     time.Time
-	server string // gets no more requests
-	until  time.Time
+	server string
+	left   stand.Span
 }
 
 // Play plays one run.
@@ -129,7 +137,10 @@
 	}
 	cleanups = append(cleanups, stop)
 	r.store = store
-	r.deploy = stand.Deployment{Version: 1, Routes: stand.DefaultRoutes(), Keys: []string{"key-1"}, Cold: coldPace}
+	r.deploy = stand.Deployment{Version: 1, Routes: stand.DefaultRoutes(), Keys: []string{"key-1"}, Cold: coldPace, Rate: boundedRate}
+	if r.settings.Tamper == "Quota" {
+		r.deploy.Rate *= 10
+	}
 	r.deploy.Publish(store)
 	for i := range 8 {
 		_, stop, err := r.addServer(i)
@@ -138,16 +149,17 @@
 		}
 		cleanups = append(cleanups, stop)
 	}
-	var seeds []netip.AddrPort
+	var listen []netip.AddrPort
 	for n := range r.settings.Hosts {
-		seed, err := freePort(hostAddress(n))
+		at, stop, err := r.proxies(n)
+		cleanups = append(cleanups, stop...)
 		if err != nil {
 			return cleanup, err
 		}
-		seeds = append(seeds, seed)
+		listen = append(listen, at)
 	}
 	for n := range r.settings.Hosts {
-		p, err := r.newProcess(folder, n, seeds)
+		p, err := r.newProcess(folder, n, listen[n])
 		if err != nil {
 			return cleanup, err
 		}
@@ -189,7 +201,42 @@
 	return l.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
-func (r *run) newProcess(folder string, n int, seeds []netip.AddrPort) (*process, error) {
+// proxies puts proxies before a host and before the store for it, and returns
+// where the host is to listen.
+func (r *run) proxies(n int) (netip.AddrPort, []func(), error) {
+	var stops []func()
+	at, err := freePort(hostAddress(n))
+	if err != nil {
+		return at, stops, err
+	}
+	any := netip.AddrPortFrom(hostAddress(n), 0)
+	into, stop, err := newProxy(any, at, netip.Addr{}, helloFrom)
+	if err != nil {
+		return at, stops, err
+	}
+	stops = append(stops, stop)
+	reading, stop, err := newProxy(any, r.store.Address, hostAddress(n), nil)
+	if err != nil {
+		return at, stops, err
+	}
+	r.into, r.reading = append(r.into, into), append(r.reading, reading)
+	return at, append(stops, stop), nil
+}
+
+// hello is how a host begins a connection to another: it tells its address.
+var hello = regexp.MustCompile(`"From":"([0-9.]+):`)
+
+// helloFrom finds out which host calls.
+func helloFrom(first []byte) netip.Addr {
+	m := hello.FindSubmatch(first)
+	if m == nil {
+		return netip.Addr{}
+	}
+	a, _ := netip.ParseAddr(string(m[1]))
+	return a
+}
+
+func (r *run) newProcess(folder string, n int, listen netip.AddrPort) (*process, error) {
 	front, err := freePort(hostAddress(n))
 	if err != nil {
 		return nil, err
@@ -198,12 +245,16 @@
 	if err != nil {
 		return nil, err
 	}
+	var seeds []netip.AddrPort
+	for _, p := range r.into[:min(3, len(r.into))] {
+		seeds = append(seeds, p.address)
+	}
 	p := &process{
-		program: r.settings.Program, file: filepath.Join(folder, fmt.Sprint("node-", n, ".toml")),
+		program: r.settings.Program, listen: listen, file: filepath.Join(folder, fmt.Sprint("node-", n, ".toml")),
 		log: filepath.Join(folder, fmt.Sprint("node-", n, ".log")),
 		node: stand.Node{
-			Name: fmt.Sprint("host-", n), Zone: zone(n), Front: front, Ready: ready, Control: seeds[n],
-			Seeds: seeds[:min(3, len(seeds))], Store: r.store.Address, Grace: grace,
+			Name: fmt.Sprint("host-", n), Zone: zone(n), Front: front, Ready: ready, Control: r.into[n].address,
+			Seeds: seeds, Store: r.reading[n].address, Grace: grace,
 		},
 	}
 	if err := os.WriteFile(p.file, []byte(p.node.SettingsFile()), 0o600); err != nil {
@@ -228,6 +279,9 @@
 		q := &request{id: fmt.Sprintf("q%d", n), route: route, sent: time.Now()}
 		r.mu.Lock()
 		key := r.deploy.Keys[len(r.deploy.Keys)-1]
+		if n%boundedPart == 0 {
+			key = stand.BoundedKey
+		}
 		r.requests = append(r.requests, q)
 		r.mu.Unlock()
 		sending.Go(func() {
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"io"
+	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,9 +45,79 @@
 // The checks see promises that are broken on purpose.
 func TestChecksSeeSeededFaults(t *testing.T) {
 	path := program(t)
-	for _, tamper := range []string{"Twice", "Mixed"} {
-		r, err := Play(context.Background(), Settings{Program: path, Hosts: 2, Seed: 2, Length: 3 * time.Second, Tamper: tamper})
+	for _, c := range []struct {
+		tamper string
+		only   string
+		says   string
+	}{
+		{"Twice", "settings reloaded", "times"},
+		{"Mixed", "settings reloaded", "got"},
+		{"Cold", "server turns cold", "cold server-"},
+		{"Left", alone, "after it had left"},
+		{"Quota", "settings reloaded", "the bounded workspace got"},
+	} {
+		t.Run(c.tamper, func(t *testing.T) {
+			t.Parallel()
+			r, err := Play(context.Background(), Settings{
+				Program: path, Hosts: 2, Seed: 2, Length: 10 * time.Second, Tamper: c.tamper, Only: []string{c.only},
+			})
+			assert.NilError(t, err)
+			seen := slices.ContainsFunc(r.Findings, func(f string) bool { return strings.Contains(f, c.says) })
+			assert.Assert(t, seen, "%s was not seen: %v", c.tamper, r.Faults)
+		})
+	}
+}
+
+// Each way of a proxy does what it says, to the caller that is meant.
+func TestProxyHarmsConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() { // an echo
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	caller := netip.MustParseAddr("127.0.2.9")
+	p, stop, err := newProxy(netip.MustParseAddrPort("127.0.0.1:0"), l.Addr().(*net.TCPAddr).AddrPort(), netip.Addr{}, helloFrom)
+	assert.NilError(t, err)
+	defer stop()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", p.address.String())
 		assert.NilError(t, err)
-		assert.Assert(t, len(r.Findings) > 0, "%s was not seen", tamper)
+		return c
+	}
+	// answered sends a hello of the caller and waits for the echo.
+	answered := func(c net.Conn) (time.Duration, bool) {
+		begun := time.Now()
+		_, _ = c.Write([]byte(`{"From":"127.0.2.9:80"}`))
+		_ = c.SetReadDeadline(begun.Add(time.Second))
+		n, _ := c.Read(make([]byte, 100))
+		return time.Since(begun), n > 0
 	}
+	c := dial()
+	defer c.Close()
+	_, ok := answered(c)
+	assert.Assert(t, ok)
+	p.set(caller, slow)
+	took, ok := answered(c)
+	assert.Assert(t, ok && took >= slowLink, "%s", took)
+	p.set(netip.MustParseAddr("127.0.2.8"), silent)
+	_, ok = answered(c)
+	assert.Assert(t, ok, "another caller was silenced")
+	p.set(caller, silent)
+	_, ok = answered(c)
+	assert.Assert(t, !ok)
+	p.set(caller, sound)
+	_, ok = answered(c)
+	assert.Assert(t, ok)
+	p.set(caller, broken)
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "")
+	_, ok = answered(dial())
+	assert.Assert(t, !ok)
 }
