Peers: the product's own hosts talk over the same connections as the platform's

io/mesh and io/peers each kept connections, hellos, links and counted bytes.

Ruled out: keeping peers' own times (1 s to connect, 2 s to write, keep-alive probes); with the mesh's (twice 200 ms, 1 s, unacknowledged bytes for 0.9 s) io/local and cmd/yuccadoor pass with the race detector, once each.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -22,6 +22,7 @@
 	"yuccadoor/io/front"
 	"yuccadoor/io/logs"
 	"yuccadoor/io/loop"
+	"yuccadoor/io/mesh"
 	"yuccadoor/io/peers"
 	"yuccadoor/io/plat"
 	"yuccadoor/io/reach"
@@ -42,7 +43,7 @@
 // Options replace parts of a host in tests.
 type Options struct {
 	LogTo      io.Writer
-	DialPeer   peers.Dial
+	DialPeer   mesh.Dial
 	DialTarget conns.Dial
 	Now        func() time.Time
 	Reading    time.Duration // longest time for reading a caller's body; 0 for the usual
@@ -177,8 +178,7 @@
 		return nil, nil, errors.Wrap(err, "listen for peers")
 	}
 	m, cleanup := peers.New(ctx, peers.Settings{
-		Self: b.settings.peer, Incarnation: b.incarnation, Listener: listener,
-		Dial: b.options.DialPeer, Counters: s,
+		Self: b.settings.peer, Listener: listener, Dial: b.options.DialPeer, Counters: s, Log: b.log,
 	}, l)
 	if err := l.Attach(ctx, m); err != nil {
 		cleanup()
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -28,6 +28,7 @@
 	dialTimeout  = 200 * time.Millisecond
 	dialTries    = 2
 	writeTimeout = time.Second
+	callTimeout  = 2 * time.Second
 	// unackedLife is how long sent bytes may stay unacknowledged before the
 	// connection is given up: hosts count each other as dead after about as long.
 	unackedLife  = 900 * time.Millisecond
@@ -63,11 +64,20 @@
 	Received(bytes int)
 }
 
+// Dial opens a connection to another host.
+type Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+
 // Settings are what a mesh needs.
 type Settings struct {
 	Self     netip.AddrPort
 	Listener net.Listener
 	Counters Counters
+	Dial     Dial // nil for plain TCP from Self's address
+	// Greet decides whether a host that calls from an address is let in; nil lets
+	// in all. Answer answers calls; nil refuses them. Both are called from one
+	// goroutine a connection.
+	Greet  func(from netip.AddrPort, remote netip.Addr) error
+	Answer func(ctx context.Context, from netip.AddrPort, method string, params json.RawMessage) (any, error)
 }
 
 // Mesh is the set of connections of one host.
@@ -79,12 +89,21 @@
 	mu       sync.Mutex
 	links    map[netip.AddrPort]*link    // guarded by mu
 	incoming map[*jsonrpc2.Conn]struct{} // guarded by mu
+	sessions map[netip.AddrPort]*session // guarded by mu; the newest by host
 }
 
 // notice is one message to be sent.
 type notice struct {
 	method string
 	params any
+	call   *call // nil if no answer is awaited
+}
+
+// call is a wait for an answer.
+type call struct {
+	ctx   context.Context
+	reply any        // decoded into
+	done  chan error // of one; never blocks the sender
 }
 
 // link is the outgoing side towards one host.
@@ -95,10 +114,13 @@
 
 // New starts accepting and returns the mesh with its clean-up function.
 func New(ctx context.Context, s Settings, h Handler) (*Mesh, func()) {
+	if s.Dial == nil {
+		s.Dial = dialFrom(s.Self)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	m := &Mesh{
 		settings: s, handler: h, ctx: ctx,
-		links: map[netip.AddrPort]*link{}, incoming: map[*jsonrpc2.Conn]struct{}{},
+		links: map[netip.AddrPort]*link{}, incoming: map[*jsonrpc2.Conn]struct{}{}, sessions: map[netip.AddrPort]*session{},
 	}
 	var running sync.WaitGroup
 	running.Go(func() { m.accept() })
@@ -141,7 +163,12 @@
 		conn.Close()
 		return
 	}
-	s := &session{mesh: m, expire: time.AfterFunc(helloTimeout, func() { conn.Close() })}
+	remote, err := netip.ParseAddrPort(conn.RemoteAddr().String())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	s := &session{mesh: m, remote: remote.Addr().Unmap(), expire: time.AfterFunc(helloTimeout, func() { conn.Close() })}
 	c := jsonrpc2.NewConn(m.ctx, jsonrpc2.NewPlainObjectStream(&counted{Conn: conn, counters: m.settings.Counters, idle: idleLife}), s, jsonrpc2.SetLogger(quiet))
 	m.mu.Lock()
 	m.incoming[c] = struct{}{}
@@ -151,6 +178,9 @@
 		s.expire.Stop()
 		m.mu.Lock()
 		delete(m.incoming, c)
+		if m.sessions[s.from] == s {
+			delete(m.sessions, s.from)
+		}
 		m.mu.Unlock()
 	}()
 }
@@ -158,27 +188,74 @@
 // session is one incoming connection; its fields are used by its own goroutine.
 type session struct {
 	mesh   *Mesh
-	from   netip.AddrPort
+	remote netip.Addr
+	from   netip.AddrPort // invalid before Hello; also guarded by the mesh's mu when written
 	expire *time.Timer
 }
 
 // Handle implements jsonrpc2.Handler.
-func (s *session) Handle(_ context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+func (s *session) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
 	var params json.RawMessage
 	if r.Params != nil {
 		params = *r.Params
 	}
-	if s.from.IsValid() {
+	switch {
+	case !s.from.IsValid():
+		if r.Method != methodHello || s.hello(params) != nil {
+			c.Close()
+		}
+	case !s.mesh.current(s):
+		c.Close() // messages in its buffers may be of an earlier process
+	case r.Notif:
 		s.mesh.handler.Receive(s.from, r.Method, params)
-		return
+	default:
+		s.answer(ctx, c, r, params)
 	}
-	var h Hello
-	if r.Method != methodHello || json.Unmarshal(params, &h) != nil || !h.From.IsValid() {
+}
+
+// answer answers a call; a connection whose calls cannot be answered ends.
+func (s *session) answer(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request, params json.RawMessage) {
+	err := errors.Errorf("%s: no calls are answered here", r.Method)
+	var result any
+	if s.mesh.settings.Answer != nil {
+		result, err = s.mesh.settings.Answer(ctx, s.from, r.Method, params)
+	}
+	if err != nil {
+		_ = c.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()})
 		c.Close()
 		return
 	}
+	if err := c.Reply(ctx, r.ID, result); err != nil {
+		c.Close()
+	}
+}
+
+// hello lets a caller in. From then on only its newest connection counts.
+func (s *session) hello(params json.RawMessage) error {
+	var h Hello
+	if err := json.Unmarshal(params, &h); err != nil {
+		return errors.Wrap(err, "decode hello")
+	}
+	if !h.From.IsValid() {
+		return errors.New("a hello without an address")
+	}
+	if s.mesh.settings.Greet != nil {
+		if err := s.mesh.settings.Greet(h.From, s.remote); err != nil {
+			return err
+		}
+	}
 	s.expire.Stop()
+	s.mesh.mu.Lock()
+	defer s.mesh.mu.Unlock()
 	s.from = h.From
+	s.mesh.sessions[s.from] = s
+	return nil
+}
+
+func (m *Mesh) current(s *session) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sessions[s.from] == s
 }
 
 // counted counts the bytes of a connection and bounds its reads and writes.
@@ -217,11 +294,47 @@
 // Send hands a message to a host's link. It never waits: when too much waits
 // already, the message is lost and the handler is told.
 func (m *Mesh) Send(to netip.AddrPort, method string, params any) {
-	if !m.link(to).out.Offer(notice{method, params}) {
+	if !m.link(to).out.Offer(notice{method: method, params: params}) {
 		m.handler.Lost(to)
 	}
 }
 
+// Call asks a host and decodes its answer. A connection that does not answer in
+// time is not trusted again.
+func (m *Mesh) Call(ctx context.Context, to netip.AddrPort, method string, params, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c := &call{ctx: ctx, reply: reply, done: make(chan error, 1)}
+	if !m.link(to).out.Offer(notice{method: method, params: params, call: c}) {
+		return errors.Errorf("call %s at %s: too much waits to be sent there", method, to)
+	}
+	select {
+	case err := <-c.done:
+		return errors.Wrapf(err, "call %s at %s", method, to)
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "call %s at %s", method, to)
+	}
+}
+
+// send sends one message, and awaits the answer to a call aside.
+func (m *Mesh) send(conn *jsonrpc2.Conn, n notice) error {
+	if n.call == nil {
+		return conn.Notify(m.ctx, n.method, n.params)
+	}
+	w, err := conn.DispatchCall(m.ctx, n.method, n.params)
+	if err != nil {
+		return err
+	}
+	go func() {
+		err := w.Wait(n.call.ctx, n.call.reply)
+		if n.call.ctx.Err() != nil {
+			conn.Close()
+		}
+		n.call.done <- err
+	}()
+	return nil
+}
+
 func (m *Mesh) link(host netip.AddrPort) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -272,7 +385,7 @@
 				}
 				conn, ended = c, c.DisconnectNotify()
 			}
-			if err := conn.Notify(m.ctx, n.method, n.params); err != nil {
+			if err := m.send(conn, n); err != nil {
 				drop()
 				m.failed(l)
 			}
@@ -306,18 +419,7 @@
 }
 
 func (m *Mesh) connect(host netip.AddrPort) (*jsonrpc2.Conn, error) {
-	d := net.Dialer{
-		Timeout:   dialTimeout,
-		LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(m.settings.Self.Addr(), 0)),
-		Control:   endUnacknowledged,
-	}
-	var raw net.Conn
-	var err error
-	for range dialTries {
-		if raw, err = d.DialContext(m.ctx, "tcp", host.String()); err == nil {
-			break
-		}
-	}
+	raw, err := m.dial(host)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to host %s", host)
 	}
@@ -330,6 +432,28 @@
 	return conn, nil
 }
 
+func (m *Mesh) dial(host netip.AddrPort) (conn net.Conn, err error) {
+	for range dialTries {
+		ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
+		conn, err = m.settings.Dial(ctx, host)
+		cancel()
+		if err == nil {
+			break
+		}
+	}
+	return conn, err
+}
+
+func dialFrom(self netip.AddrPort) Dial {
+	d := net.Dialer{
+		LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(self.Addr(), 0)),
+		Control:   endUnacknowledged,
+	}
+	return func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", to.String())
+	}
+}
+
 // endUnacknowledged lets the kernel end a connection whose bytes stay
 // unacknowledged, as behind a partition or a middlebox that has forgotten it.
 func endUnacknowledged(_, _ string, c syscall.RawConn) error {
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -61,13 +61,13 @@
 	return s.log.Counts(s.now())
 }
 
-// Sent implements peers.Counters.
+// Sent implements mesh.Counters.
 func (s *Stats) Sent(_ string, bytes int) {
 	s.set.GetOrCreateCounter("yuccadoor_peer_sent_bytes_total").Add(bytes)
 	s.set.GetOrCreateCounter("yuccadoor_peer_messages_total").Inc()
 }
 
-// Received implements peers.Counters.
+// Received implements mesh.Counters.
 func (s *Stats) Received(bytes int) {
 	s.set.GetOrCreateCounter("yuccadoor_peer_received_bytes_total").Add(bytes)
 }
