--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -52,7 +52,8 @@
 	for _, s := range r.servers {
 		for _, x := range s.Runs() {
 			runs[x.ID] = append(runs[x.ID], x)
-			if x.Header.Get("X-Yuccadoor-Tenant") == stand.Bounded {
+			// A request counts once, however often it is run.
+			if len(runs[x.ID]) == 1 && x.Header.Get("X-Yuccadoor-Tenant") == stand.Bounded {
 				bounded = append(bounded, x.At)
 			}
 		}
--- a/io/soak/process.go
+++ b/io/soak/process.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -96,4 +97,14 @@
 	p.await(readyWithin)
 }
 
+// lastLine is the last line that the process has logged.
+func (p *process) lastLine() string {
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
 func (p *process) ready(ctx context.Context) bool { return stand.IsReady(ctx, p.node.Ready) }
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -9,12 +9,12 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"regexp"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,14 +65,16 @@
 // run is one run under way.
 type run struct {
 	settings Settings
-	random   *rand.Rand
-	store    *stand.Store
-	servers  []*stand.Server
-	hosts    []*process
-	into     []*proxy // before each host, for other hosts
-	reading  []*proxy // before the store, for each host
-	deploy   stand.Deployment
-	start    time.Time
+	// addresses tells the loopback addresses of this run's hosts from others'.
+	addresses uint32
+	random    *rand.Rand
+	store     *stand.Store
+	servers   []*stand.Server
+	hosts     []*process
+	into      []*proxy // before each host, for other hosts
+	reading   []*proxy // before the store, for each host
+	deploy    stand.Deployment
+	start     time.Time
 
 	mu       sync.Mutex
 	requests []*request // guarded by mu
@@ -98,7 +100,7 @@
 
 // Play plays one run.
 func Play(ctx context.Context, s Settings) (Report, error) {
-	r := &run{settings: s, random: rand.New(rand.NewPCG(s.Seed, 9)), start: time.Now()}
+	r := &run{settings: s, addresses: newRange(), random: rand.New(rand.NewPCG(s.Seed, 9)), start: time.Now()}
 	r.report.Seed = s.Seed
 	folder, err := os.MkdirTemp("", "yuccadoor-soak")
 	if err != nil {
@@ -168,7 +170,7 @@
 	}
 	for _, h := range r.hosts {
 		if !r.within(ctx, readyWithin, h.ready) {
-			return cleanup, errors.Errorf("host %s was not ready in %s", h.node.Name, readyWithin)
+			return cleanup, errors.Errorf("host %s was not ready in %s; it logged last: %s", h.node.Name, readyWithin, h.lastLine())
 		}
 	}
 	return cleanup, nil
@@ -190,32 +192,43 @@
 
 func zone(n int) string { return []string{"a", "b"}[n%zones] }
 
-func hostAddress(n int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 2, byte(n + 1)}) }
+// Ports of a host, below those that the system gives to outgoing connections.
+const (
+	portFront = 8001 + iota
+	portReady
+	portListen // for other hosts
+	portInto   // the proxy before portListen
+	portStore  // the proxy before the store
+)
 
-func freePort(at netip.Addr) (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", netip.AddrPortFrom(at, 0).String())
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "find a free port")
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+// runs counts the runs of this process.
+var runs atomic.Uint32
+
+// newRange gives a range of loopback addresses that no other run uses now.
+func newRange() uint32 {
+	const perProcess = 8 // runs at once
+	return uint32(os.Getpid())*perProcess + runs.Add(1)%perProcess
+}
+
+func (r *run) hostAddress(n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 64 + byte(r.addresses>>8)%64, byte(r.addresses), byte(n + 1)})
+}
+
+func (r *run) at(n int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(r.hostAddress(n), port)
 }
 
 // proxies puts proxies before a host and before the store for it, and returns
 // where the host is to listen.
 func (r *run) proxies(n int) (netip.AddrPort, []func(), error) {
 	var stops []func()
-	at, err := freePort(hostAddress(n))
-	if err != nil {
-		return at, stops, err
-	}
-	any := netip.AddrPortFrom(hostAddress(n), 0)
-	into, stop, err := newProxy(any, at, netip.Addr{}, helloFrom)
+	at := r.at(n, portListen)
+	into, stop, err := newProxy(r.at(n, portInto), at, netip.Addr{}, helloFrom)
 	if err != nil {
 		return at, stops, err
 	}
 	stops = append(stops, stop)
-	reading, stop, err := newProxy(any, r.store.Address, hostAddress(n), nil)
+	reading, stop, err := newProxy(r.at(n, portStore), r.store.Address, r.hostAddress(n), nil)
 	if err != nil {
 		return at, stops, err
 	}
@@ -237,14 +250,6 @@
 }
 
 func (r *run) newProcess(folder string, n int, listen netip.AddrPort) (*process, error) {
-	front, err := freePort(hostAddress(n))
-	if err != nil {
-		return nil, err
-	}
-	ready, err := freePort(hostAddress(n))
-	if err != nil {
-		return nil, err
-	}
 	var seeds []netip.AddrPort
 	for _, p := range r.into[:min(3, len(r.into))] {
 		seeds = append(seeds, p.address)
@@ -253,7 +258,7 @@
 		program: r.settings.Program, listen: listen, file: filepath.Join(folder, fmt.Sprint("node-", n, ".toml")),
 		log: filepath.Join(folder, fmt.Sprint("node-", n, ".log")),
 		node: stand.Node{
-			Name: fmt.Sprint("host-", n), Zone: zone(n), Front: front, Ready: ready, Control: r.into[n].address,
+			Name: fmt.Sprint("host-", n), Zone: zone(n), Front: r.at(n, portFront), Ready: r.at(n, portReady), Control: r.into[n].address,
 			Seeds: seeds, Store: r.reading[n].address, Grace: grace,
 		},
 	}
