Coord: what is sent for every request and beat is packed

Change: io/pack, CBOR with numbers for names inside one JSON string, for Asks, Verdicts, Sync and Beat. Unknown fields are passed over, so that versions can mix.

--- a/core/broker/message.go
+++ b/core/broker/message.go
@@ -8,37 +8,37 @@
 
 // Ask is a host's wish to send one request. Times are left at sending.
 type Ask struct {
-	ID        uint64 // within the asking host's incarnation
-	Service   string
-	Workspace string
-	Tokens    float64       // of the workspace's allowance
-	Tier      model.Tier    // of the workspace, or of the route where it has none
-	Class     model.Tier    // of the route
-	Aim       time.Duration // to the latest start of the answer that is in time
-	Left      time.Duration // until the request is given up
-	Prompt    int           // tokens
-	Output    int           // tokens, expected
-	Avoid     []string      `json:",omitempty"` // targets not to be used again
-	Again     bool          `json:",omitempty"` // asked before: its allowance is used already
-	Zone      string        // of the asking host
+	ID        uint64        `cbor:"1,keyasint,omitempty"` // within the asking host's incarnation
+	Service   string        `cbor:"2,keyasint,omitempty"`
+	Workspace string        `cbor:"3,keyasint,omitempty"`
+	Tokens    float64       `cbor:"4,keyasint,omitempty"`  // of the workspace's allowance
+	Tier      model.Tier    `cbor:"5,keyasint,omitempty"`  // of the workspace, or of the route where it has none
+	Class     model.Tier    `cbor:"6,keyasint,omitempty"`  // of the route
+	Aim       time.Duration `cbor:"7,keyasint,omitempty"`  // to the latest start of the answer that is in time
+	Left      time.Duration `cbor:"8,keyasint,omitempty"`  // until the request is given up
+	Prompt    int           `cbor:"9,keyasint,omitempty"`  // tokens
+	Output    int           `cbor:"10,keyasint,omitempty"` // tokens, expected
+	Avoid     []string      `cbor:"11,keyasint,omitempty"` // targets not to be used again
+	Again     bool          `cbor:"12,keyasint,omitempty"` // asked before: its allowance is used already
+	Zone      string        `cbor:"13,keyasint,omitempty"` // of the asking host
 	// Content identifies path, caller and body, whoever sends them again; 0 if
 	// it is not to be held against the request when a target crashes.
-	Content model.Fingerprint `json:",omitempty"`
+	Content model.Fingerprint `cbor:"14,keyasint,omitempty"`
 }
 
 // Grant lets a host send one request to one target.
 type Grant struct {
-	ID     uint64
-	Target string
+	ID     uint64 `cbor:"1,keyasint,omitempty"`
+	Target string `cbor:"2,keyasint,omitempty"`
 }
 
 // Refusal ends a request that has not run.
 type Refusal struct {
-	ID    uint64
-	Quota bool          // beyond the workspace's allowance
-	After time.Duration // when to come back
-	Turn  time.Duration // until its turn would probably come; for an allowance, until there is enough
-	Cause string
+	ID    uint64        `cbor:"1,keyasint,omitempty"`
+	Quota bool          `cbor:"2,keyasint,omitempty"` // beyond the workspace's allowance
+	After time.Duration `cbor:"3,keyasint,omitempty"` // when to come back
+	Turn  time.Duration `cbor:"4,keyasint,omitempty"` // until its turn would probably come; for an allowance, until there is enough
+	Cause string        `cbor:"5,keyasint,omitempty"`
 }
 
 // Outcome is how a granted request ended.
@@ -57,18 +57,18 @@
 
 // Done reports the end of a granted request.
 type Done struct {
-	ID      uint64
-	Target  string
-	Outcome Outcome
-	Took    time.Duration // from sending to the end
-	First   time.Duration // from sending to the first part of the answer
-	Tokens  int           // generated
+	ID      uint64        `cbor:"1,keyasint,omitempty"`
+	Target  string        `cbor:"2,keyasint,omitempty"`
+	Outcome Outcome       `cbor:"3,keyasint,omitempty"`
+	Took    time.Duration `cbor:"4,keyasint,omitempty"` // from sending to the end
+	First   time.Duration `cbor:"5,keyasint,omitempty"` // from sending to the first part of the answer
+	Tokens  int           `cbor:"6,keyasint,omitempty"` // generated
 	// ColdLeft is how long the target stays cold, as it told; 0 for warm or not told.
-	ColdLeft time.Duration `json:",omitempty"`
+	ColdLeft time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // Running is a request that a host has under way, told to a new leader.
 type Running struct {
-	ID     uint64
-	Target string
+	ID     uint64 `cbor:"1,keyasint,omitempty"`
+	Target string `cbor:"2,keyasint,omitempty"`
 }
--- a/core/hosts/hosts.go
+++ b/core/hosts/hosts.go
@@ -52,14 +52,14 @@
 
 // Beat is what a host tells of itself.
 type Beat struct {
-	Address     netip.AddrPort // towards other hosts
-	Zone        string
-	Incarnation uint64
-	Count       uint64 // grows with each beat
-	Power       int    // processor share in hundredths of a core
-	Started     int64  // by its own clock, in units of startUnit seconds
-	Leaving     bool   `json:",omitempty"`
-	Unread      bool   `json:",omitempty"` // it tried to read the published facts, and could not
+	Address     netip.AddrPort `cbor:"1,keyasint,omitempty"` // towards other hosts
+	Zone        string         `cbor:"2,keyasint,omitempty"`
+	Incarnation uint64         `cbor:"3,keyasint,omitempty"`
+	Count       uint64         `cbor:"4,keyasint,omitempty"` // grows with each beat
+	Power       int            `cbor:"5,keyasint,omitempty"` // processor share in hundredths of a core
+	Started     int64          `cbor:"6,keyasint,omitempty"` // by its own clock, in units of startUnit seconds
+	Leaving     bool           `cbor:"7,keyasint,omitempty"`
+	Unread      bool           `cbor:"8,keyasint,omitempty"` // it tried to read the published facts, and could not
 }
 
 // StartedAt gives the value of Beat.Started for a time.
--- a/io/coord/facts.go
+++ b/io/coord/facts.go
@@ -13,6 +13,7 @@
 	"yuccadoor/core/hosts"
 	"yuccadoor/core/roster"
 	"yuccadoor/core/routes"
+	"yuccadoor/io/pack"
 )
 
 // Methods between hosts.
@@ -28,9 +29,9 @@
 
 // Beat tells that hosts are alive, the sender first, and what the sender knows.
 type Beat struct {
-	Beats    []hosts.Beat
-	Version  uint64 // of the configuration; 0 for none
-	Revision uint64 // of the roster; 0 for none
+	Beats    []hosts.Beat `cbor:"1,keyasint,omitempty"`
+	Version  uint64       `cbor:"2,keyasint,omitempty"` // of the configuration; 0 for none
+	Revision uint64       `cbor:"3,keyasint,omitempty"` // of the roster; 0 for none
 }
 
 // Fetch asks for what is newer than the given.
@@ -59,17 +60,17 @@
 func (c *Coord) decode(from netip.AddrPort, method string, params json.RawMessage) (event, error) {
 	switch method {
 	case methodBeat:
-		return into(params, func(now time.Time, b Beat) { c.heard(now, from, b) })
+		return unpacked(params, func(now time.Time, b Beat) { c.heard(now, from, b) })
 	case methodFetch:
 		return into(params, func(now time.Time, f Fetch) { c.answer(now, from, f) })
 	case methodFacts:
 		return into(params, func(now time.Time, f Facts) { c.learn(now, from, f) })
 	case methodAsks:
-		return into(params, func(now time.Time, a Asks) { c.takeAsks(now, from, a) })
+		return unpacked(params, func(now time.Time, a Asks) { c.takeAsks(now, from, a) })
 	case methodSync:
-		return into(params, func(now time.Time, s Sync) { c.takeSync(now, from, s) })
+		return unpacked(params, func(now time.Time, s Sync) { c.takeSync(now, from, s) })
 	case methodVerdicts:
-		return into(params, func(_ time.Time, v Verdicts) { c.takeVerdicts(from, v) })
+		return unpacked(params, func(_ time.Time, v Verdicts) { c.takeVerdicts(from, v) })
 	case methodResync:
 		return func(time.Time) {
 			if from == c.leader {
@@ -88,6 +89,12 @@
 	return func(now time.Time) { do(now, t) }, nil
 }
 
+// unpacked is into for the messages that are packed, those of every request and
+// beat.
+func unpacked[T any](params json.RawMessage, do func(now time.Time, t T)) (event, error) {
+	return into(params, func(now time.Time, p pack.Packed[T]) { do(now, p.Value) })
+}
+
 func (c *Coord) version() uint64 {
 	if c.config == nil {
 		return 0
@@ -106,7 +113,7 @@
 func (c *Coord) beat(now time.Time) {
 	b := Beat{Beats: append([]hosts.Beat{c.hosts.Beat(now)}, c.hosts.Digest(now)...), Version: c.version(), Revision: c.revision()}
 	for _, to := range c.hosts.Audience(now) {
-		c.mesh.Send(to, methodBeat, b)
+		c.mesh.Send(to, methodBeat, pack.Of(b))
 	}
 }
 
@@ -171,7 +178,7 @@
 // packed is the configuration as it is passed on, made once a version.
 func (c *Coord) packed() []byte {
 	if c.pack == nil {
-		pack, err := pack(c.config)
+		pack, err := compress(c.config)
 		if err != nil {
 			c.settings.Log.Event("error", "configuration not passed on", "Version", c.version(), "Error", err)
 			return nil
@@ -186,7 +193,7 @@
 	delete(c.behind, from)
 	c.fetchedAt = time.Time{}
 	if f.Config != nil {
-		config, err := unpack(f.Config)
+		config, err := expand(f.Config)
 		if err != nil {
 			c.settings.Log.Event("warn", "configuration of host not understood", "From", from, "Error", err)
 		} else {
@@ -215,8 +222,8 @@
 // maxConfig bounds an unpacked configuration.
 const maxConfig = 8 << 20
 
-// pack makes a configuration short: it repeats itself.
-func pack(config *routes.Config) ([]byte, error) {
+// compress makes a configuration short: it repeats itself.
+func compress(config *routes.Config) ([]byte, error) {
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
 	if err := json.NewEncoder(z).Encode(config); err != nil {
@@ -228,7 +235,7 @@
 	return b.Bytes(), nil
 }
 
-func unpack(packed []byte) (*routes.Config, error) {
+func expand(packed []byte) (*routes.Config, error) {
 	z, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, errors.Wrap(err, "unpack the configuration")
@@ -250,6 +257,6 @@
 	}
 	b := Beat{Beats: []hosts.Beat{c.hosts.Beat(now)}, Version: c.version(), Revision: c.revision()}
 	for _, h := range to {
-		c.mesh.Send(h, methodBeat, b)
+		c.mesh.Send(h, methodBeat, pack.Of(b))
 	}
 }
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -6,27 +6,28 @@
 	"time"
 
 	"yuccadoor/core/broker"
+	"yuccadoor/io/pack"
 )
 
 // Asks are what a host tells its leader.
 type Asks struct {
-	Asks    []broker.Ask  `json:",omitempty"`
-	Dones   []broker.Done `json:",omitempty"`
-	Cancels []uint64      `json:",omitempty"`
+	Asks    []broker.Ask  `cbor:"1,keyasint,omitempty"`
+	Dones   []broker.Done `cbor:"2,keyasint,omitempty"`
+	Cancels []uint64      `cbor:"3,keyasint,omitempty"`
 }
 
 func (a *Asks) empty() bool { return len(a.Asks)+len(a.Dones)+len(a.Cancels) == 0 }
 
 // Sync is the whole state of a host, told to a new leader.
 type Sync struct {
-	Running []broker.Running `json:",omitempty"`
-	Asks    []broker.Ask     `json:",omitempty"`
+	Running []broker.Running `cbor:"1,keyasint,omitempty"`
+	Asks    []broker.Ask     `cbor:"2,keyasint,omitempty"`
 }
 
 // Verdicts are a leader's decisions on a host's requests.
 type Verdicts struct {
-	Grants   []broker.Grant   `json:",omitempty"`
-	Refusals []broker.Refusal `json:",omitempty"`
+	Grants   []broker.Grant   `cbor:"1,keyasint,omitempty"`
+	Refusals []broker.Refusal `cbor:"2,keyasint,omitempty"`
 }
 
 // elect looks who leads and drops what dead hosts had asked here.
@@ -77,7 +78,7 @@
 	if c.leader == c.self() {
 		c.takeAsks(now, c.self(), out)
 	} else {
-		c.mesh.Send(c.leader, methodAsks, out)
+		c.mesh.Send(c.leader, methodAsks, pack.Of(out))
 	}
 	return true
 }
@@ -105,7 +106,7 @@
 	if c.leader == c.self() {
 		c.takeSync(now, c.self(), s)
 	} else {
-		c.mesh.Send(c.leader, methodSync, s)
+		c.mesh.Send(c.leader, methodSync, pack.Of(s))
 	}
 }
 
@@ -153,7 +154,7 @@
 		if h == c.self() {
 			c.takeVerdicts(c.self(), *v)
 		} else {
-			c.mesh.Send(h, methodVerdicts, v)
+			c.mesh.Send(h, methodVerdicts, pack.Of(*v))
 		}
 	}
 	return true
