Coord: what is held against contents outlives the leader

Cause: crash records were the leader's own. A content that crashes targets could crash three more under each new leader, where three in all are the bound.

Change: a leader tells those that ask it of what is new, and a host that syncs of all; they keep it. Records bear the number of their broker, so that none counts twice.

Before: io/coord's new test, three hosts over an in-memory mesh, run with both messages taken out, is granted the content by the next leader.

Burn: net/http was imported into core/burn; the test of purity saw it.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -48,17 +48,19 @@
 	quota    *quota.Buckets
 	share    float64 // part of the fleet that is reached from here
 	crashes  *crash.Records
+	told     uint64 // crashes that were handed out by Crashes
 
 	grants   map[netip.AddrPort][]Grant
 	refusals map[netip.AddrPort][]Refusal
 }
 
-// New returns an empty broker that keeps allowances within a tolerance.
-func New(t quota.Tolerance) *Broker {
+// New returns an empty broker that keeps allowances within a tolerance. self is a
+// number that no other broker has.
+func New(t quota.Tolerance, self uint64) *Broker {
 	return &Broker{
 		roster: roster.New().Snapshot(), config: (&routes.Config{}).Index(),
 		queues: map[string][]*waiting{}, runs: map[key]*run{}, targets: map[string]*target{},
-		services: map[string]*answers{}, sizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(0, condemnAt), share: 1,
+		services: map[string]*answers{}, sizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(self, condemnAt), share: 1,
 		grants: map[netip.AddrPort][]Grant{}, refusals: map[netip.AddrPort][]Refusal{},
 	}
 }
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -34,7 +34,7 @@
 
 func newWorld(targets int, services ...routes.Service) *world {
 	w := &world{
-		b: New(quota.Tolerance{}), now: start, roster: roster.New(),
+		b: New(quota.Tolerance{}, 1), now: start, roster: roster.New(),
 		given: map[netip.AddrPort][]Grant{}, turned: map[netip.AddrPort][]Refusal{},
 	}
 	if len(services) == 0 {
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"yuccadoor/core/member"
 	"yuccadoor/core/model"
 )
 
@@ -41,6 +42,22 @@
 	t.doubts = append(kept, doubt{content, now, took})
 }
 
+// Crashes gives what is held against contents if there is something new since it
+// was last asked for, so that other hosts know it should one of them lead.
+func (b *Broker) Crashes(now time.Time) []member.Crash {
+	if b.crashes.Seen() == b.told {
+		return nil
+	}
+	b.told = b.crashes.Seen()
+	return b.crashes.Share(now)
+}
+
+// AllCrashes gives what is held against contents, for a host that is new here.
+func (b *Broker) AllCrashes(now time.Time) []member.Crash { return b.crashes.Share(now) }
+
+// LearnCrashes takes in what another broker holds against contents.
+func (b *Broker) LearnCrashes(now time.Time, crashes []member.Crash) { b.crashes.Learn(now, crashes) }
+
 // crashed holds the runs that broke lately against their contents: the target
 // takes no connections, or has started anew.
 func (b *Broker) crashed(now time.Time, address netip.AddrPort, t *target) {
--- a/core/burn/day.go
+++ b/core/burn/day.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/http"
 	"slices"
 	"time"
 )
@@ -19,6 +18,13 @@
 	NotOwed Fate = "NotOwed" // not allowed, beyond an allowance, or its caller left
 )
 
+// Statuses of HTTP, without its package, which opens sockets.
+const (
+	statusLeastError  = 400
+	statusTooMany     = 429
+	statusUnavailable = 503
+)
+
 // End is how one request ended.
 type End struct {
 	Route   string // empty if none matched
@@ -34,11 +40,11 @@
 // and those whose caller left are owed nothing.
 func (e *End) Fate() Fate {
 	switch {
-	case e.Route == "", e.Service == "", e.Status == http.StatusTooManyRequests, e.Left:
+	case e.Route == "", e.Service == "", e.Status == statusTooMany, e.Left:
 		return NotOwed
-	case e.Status == http.StatusServiceUnavailable && e.Cause != "":
+	case e.Status == statusUnavailable && e.Cause != "":
 		return Refused
-	case e.Status >= http.StatusBadRequest, e.Cause != "":
+	case e.Status >= statusLeastError, e.Cause != "":
 		return Failed
 	case e.First > e.Aim:
 		return Late
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -68,6 +68,9 @@
 	r.add(f, record{id: member.CrashID{Seer: r.self, Serial: r.serial}, target: target, began: at.Add(-took), at: at})
 }
 
+// Seen is how many crashes were reported here, each as often as it was.
+func (r *Records) Seen() uint64 { return r.serial }
+
 func (r *Records) add(f model.Fingerprint, c record) {
 	if slices.ContainsFunc(r.crashes[f], c.sameCrash) || r.size >= maxRecords {
 		return
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -34,17 +34,17 @@
 
 // CrashID tells records apart: the process that saw the crash, and its count.
 type CrashID struct {
-	Seer   uint64
-	Serial uint64
+	Seer   uint64 `cbor:"1,keyasint,omitempty"`
+	Serial uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Crash is a record of a request content that broke its target.
 type Crash struct {
-	ID          CrashID
-	Fingerprint model.Fingerprint
-	Target      netip.AddrPort
-	Age         time.Duration // since the crash
-	Took        time.Duration // from sending the request to the crash
+	ID          CrashID           `cbor:"1,keyasint,omitempty"`
+	Fingerprint model.Fingerprint `cbor:"2,keyasint,omitempty"`
+	Target      netip.AddrPort    `cbor:"3,keyasint,omitempty"`
+	Age         time.Duration     `cbor:"4,keyasint,omitempty"` // since the crash
+	Took        time.Duration     `cbor:"5,keyasint,omitempty"` // from sending the request to the crash
 }
 
 // Exchange is the whole state that two hosts trade in one message.
--- a/core/replay/policy.go
+++ b/core/replay/policy.go
@@ -65,7 +65,7 @@
 var entry = netip.MustParseAddrPort("10.0.0.1:1")
 
 func newBroker(p *Pattern, start time.Time) *central {
-	c := &central{broker: broker.New(quota.Tolerance{}), roster: roster.New()}
+	c := &central{broker: broker.New(quota.Tolerance{}, 0), roster: roster.New()}
 	config := &routes.Config{Version: 1}
 	for _, w := range p.Workspaces {
 		config.Workspaces = append(config.Workspaces, routes.Workspace{
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -125,7 +125,7 @@
 	c := &Coord{
 		settings: s, calls: ring.NewCalls(eventRing), known: make(chan struct{}),
 		hosts:  hosts.New(now, self, s.Seeds, s.Incarnation),
-		roster: roster.New(), broker: broker.New(s.Tolerance),
+		roster: roster.New(), broker: broker.New(s.Tolerance, s.Incarnation),
 		pending: map[uint64]*pending{}, running: map[uint64]string{},
 		behind: map[netip.AddrPort]time.Time{},
 		asking: map[netip.AddrPort]bool{}, nextID: rand.Uint64() >> 16,
@@ -201,9 +201,10 @@
 	for range 4 {
 		sent := c.flushAsks(now)
 		if !c.flushVerdicts() && !sent {
-			return
+			break
 		}
 	}
+	c.flushCrashes(now)
 }
 
 func (c *Coord) self() netip.AddrPort { return c.settings.Self }
--- /dev/null
+++ b/io/coord/coord_test.go
@@ -0,0 +1,155 @@
+package coord
+
+import (
+	"encoding/json"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"yuccadoor/core/broker"
+	"yuccadoor/core/roster"
+	"yuccadoor/core/routes"
+	"yuccadoor/io/logs"
+)
+
+// wires carry the messages between the hosts of a test, in the order of sending.
+type wires struct {
+	mu    sync.Mutex
+	hosts map[netip.AddrPort]*Coord // guarded by mu
+}
+
+// end is one host's side.
+type end struct {
+	wires *wires
+	self  netip.AddrPort
+}
+
+// Send implements Mesh.
+func (e end) Send(to netip.AddrPort, method string, params any) {
+	text, err := json.Marshal(params)
+	if err != nil {
+		panic(err)
+	}
+	e.wires.mu.Lock()
+	c := e.wires.hosts[to]
+	e.wires.mu.Unlock()
+	if c != nil {
+		go c.Receive(e.self, method, text)
+	}
+}
+
+func hostAt(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(n + 1)}), 9)
+}
+
+// startHosts starts hosts before two targets of one service. Stopping one is as
+// if its process were killed.
+func startHosts(t *testing.T, n int) (hosts []*Coord, kill func(i int)) {
+	t.Helper()
+	log, err := logs.New(io.Discard, "error")
+	assert.NilError(t, err)
+	w := &wires{hosts: map[netip.AddrPort]*Coord{}}
+	var seeds []netip.AddrPort
+	for i := range n {
+		seeds = append(seeds, hostAt(i))
+	}
+	var stops []func()
+	for i := range n {
+		c, stop := New(t.Context(), Settings{
+			Self: hostAt(i), Zone: "a", Incarnation: uint64(i + 1), Power: 100 - i, Seeds: seeds, Log: log, Now: time.Now,
+			Awake: func() time.Duration { return 0 },
+		})
+		t.Cleanup(stop)
+		hosts, stops = append(hosts, c), append(stops, stop)
+		w.mu.Lock()
+		w.hosts[hostAt(i)] = c
+		w.mu.Unlock()
+	}
+	for i, c := range hosts {
+		assert.NilError(t, c.Attach(t.Context(), end{w, hostAt(i)}))
+		c.FeedConfig(&routes.Config{Version: 1, Services: []routes.Service{{Name: "lm", Engine: true, Slots: 4}}})
+		c.FeedListing(1, []roster.Target{
+			{ID: "t0", Service: "lm", Address: netip.MustParseAddrPort("127.0.0.9:1"), Slots: 4, Revision: 1},
+			{ID: "t1", Service: "lm", Address: netip.MustParseAddrPort("127.0.0.9:2"), Slots: 4, Revision: 1},
+		}, nil)
+	}
+	return hosts, func(i int) {
+		w.mu.Lock()
+		delete(w.hosts, hostAt(i))
+		for _, c := range w.hosts {
+			go c.Lost(hostAt(i))
+		}
+		w.mu.Unlock()
+		stops[i]()
+	}
+}
+
+// ask asks for a target and waits for the verdict.
+func ask(t *testing.T, c *Coord, a broker.Ask) (uint64, Verdict) {
+	t.Helper()
+	a.Service, a.Aim, a.Left = "lm", time.Second, 4*time.Second
+	id, verdict := c.Submit(a)
+	select {
+	case v := <-verdict:
+		return id, v
+	case <-time.After(5 * time.Second):
+		t.Fatal("no verdict")
+		return 0, Verdict{}
+	}
+}
+
+func leaderOf(t *testing.T, c *Coord) netip.AddrPort {
+	s, err := c.Status(t.Context())
+	assert.NilError(t, err)
+	return s.Leader
+}
+
+func awaitLeader(t *testing.T, c *Coord, want netip.AddrPort) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := leaderOf(t, c); got != want {
+			return poll.Continue("%s leads", got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+}
+
+// crash lets a request of a content crash its target, as its host sees it: the
+// answer breaks off, and no connection is made afterwards.
+func crash(t *testing.T, c *Coord, a broker.Ask) {
+	t.Helper()
+	id, v := ask(t, c, a)
+	assert.Assert(t, v.Target != "", "%v", v.Refusal)
+	c.Done(broker.Done{ID: id, Target: v.Target, Outcome: broker.Broken, Took: 5 * time.Millisecond})
+	other := map[string]string{"t0": "t1", "t1": "t0"}[v.Target]
+	id, v = ask(t, c, broker.Ask{Avoid: []string{other}})
+	c.Done(broker.Done{ID: id, Target: v.Target, Outcome: broker.NoConnect, Took: time.Millisecond})
+	time.Sleep(300 * time.Millisecond) // the target is back, and connected again
+}
+
+// What was held against contents went with the leader, so that a content could
+// crash three more targets under each new one.
+func TestCrashesAreKnownToTheNextLeader(t *testing.T) {
+	hosts, kill := startHosts(t, 3)
+	for _, c := range hosts {
+		awaitLeader(t, c, hostAt(0))
+	}
+	const content = 77
+	for range 3 {
+		crash(t, hosts[2], broker.Ask{Content: content})
+	}
+	_, v := ask(t, hosts[1], broker.Ask{Content: content})
+	assert.Assert(t, v.Refusal != nil && v.Refusal.Cause == "CrashesTargets", "%v", v)
+	kill(0)
+	awaitLeader(t, hosts[2], hostAt(1))
+	_, v = ask(t, hosts[2], broker.Ask{Content: content})
+	assert.Assert(t, v.Refusal != nil && v.Refusal.Cause == "CrashesTargets", "%v", v)
+	id, v := ask(t, hosts[2], broker.Ask{Content: content + 1})
+	assert.Assert(t, v.Target != "", "%v", v.Refusal)
+	hosts[2].Done(broker.Done{ID: id, Target: v.Target, Outcome: broker.Good, Took: time.Millisecond})
+}
--- a/io/coord/facts.go
+++ b/io/coord/facts.go
@@ -25,6 +25,7 @@
 	methodSync     = "Sync"
 	methodResync   = "Resync"
 	methodVerdicts = "Verdicts"
+	methodCrashes  = "Crashes"
 )
 
 // Beat tells that hosts are alive, the sender first, and what the sender knows.
@@ -71,6 +72,8 @@
 		return unpacked(params, func(now time.Time, s Sync) { c.takeSync(now, from, s) })
 	case methodVerdicts:
 		return unpacked(params, func(_ time.Time, v Verdicts) { c.takeVerdicts(from, v) })
+	case methodCrashes:
+		return unpacked(params, func(now time.Time, m Crashes) { c.broker.LearnCrashes(now, m.Crashes) })
 	case methodResync:
 		return func(time.Time) {
 			if from == c.leader {
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yuccadoor/core/broker"
+	"yuccadoor/core/member"
 	"yuccadoor/io/pack"
 )
 
@@ -30,6 +31,24 @@
 	Refusals []broker.Refusal `cbor:"2,keyasint,omitempty"`
 }
 
+// Crashes are what a leader holds against contents, told to those that ask it.
+type Crashes struct {
+	Crashes []member.Crash `cbor:"1,keyasint,omitempty"`
+}
+
+// flushCrashes tells what is new.
+func (c *Coord) flushCrashes(now time.Time) {
+	crashes := c.broker.Crashes(now)
+	if len(crashes) == 0 {
+		return
+	}
+	for h := range c.asking {
+		if h != c.self() {
+			c.mesh.Send(h, methodCrashes, pack.Of(Crashes{crashes}))
+		}
+	}
+}
+
 // elect looks who leads and drops what dead hosts had asked here.
 func (c *Coord) elect(now time.Time) {
 	alive, known := c.hosts.Share(now)
@@ -113,6 +132,9 @@
 func (c *Coord) takeSync(now time.Time, host netip.AddrPort, s Sync) {
 	c.asking[host] = true
 	c.broker.Sync(now, host, s.Running, s.Asks)
+	if crashes := c.broker.AllCrashes(now); len(crashes) > 0 && host != c.self() {
+		c.mesh.Send(host, methodCrashes, pack.Of(Crashes{crashes}))
+	}
 }
 
 func (c *Coord) takeAsks(now time.Time, host netip.AddrPort, a Asks) {
