--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -389,7 +389,8 @@
 func TestContentThatCrashesTargets(t *testing.T) {
 	w := newWorld(4)
 	var innocents int
-	for range condemnAt {
+	const most = 3 // crashes that the platform allows one content
+	for range most {
 		id := w.ask(hostA, Ask{Content: 7})
 		at := w.granted(hostA, id)
 		assert.Assert(t, at != "")
--- a/core/hosts/hosts_test.go
+++ b/core/hosts/hosts_test.go
@@ -228,7 +228,7 @@
 	f := newFleet(6)
 	f.run(3 * time.Second)
 	reading, begun := map[*Hosts]bool{}, 0
-	const length = 30 * time.Second
+	const length, pause = 30 * time.Second, 10 * time.Second // at least so long between two tries
 	for end := f.now.Add(length); f.now.Before(end); {
 		f.run(100 * time.Millisecond)
 		for _, h := range f.hosts {
@@ -244,7 +244,7 @@
 			}
 		}
 	}
-	most := readers + (len(f.hosts)-readers)*int(length/believeFailure+1)
+	most := readers + (len(f.hosts)-readers)*int(length/pause+1)
 	assert.Assert(t, begun <= most, "reading was begun %d times, at most %d are allowed", begun, most)
 }
 
