--- a/core/hosts/duties.go
+++ b/core/hosts/duties.go
@@ -51,9 +51,8 @@
 const readers = 3
 
 // believeFailure is how long a host that failed to read and was relieved counts
-// as unable. It is the longest time for which others than the first few may try
-// less often than they could; it spans several of a reader's own pauses, so that
-// a store that is away is asked little more often than by the first few alone.
+// as unable: many of a reader's own pauses, so that a store that is away is asked
+// little more often than by the first few alone.
 const believeFailure = 10 * time.Second
 
 // Reads reports whether this host is one of those that read the published
