Engine model: a trouble's slowness is a factor beside the engine's own

Cause: the end of a slow spell set the speed to 1, not to the engine's own (0.68 or 3), found by reading. The new test fails without the change.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -70,6 +70,7 @@
 // Engine is one engine. It is driven by Arrive and Advance in the order of time.
 type Engine struct {
 	profile Profile
+	slowed  float64 // factor on all times, by a trouble
 	runs    []*run
 	queue   []*run
 	at      time.Time // end of the step under way; zero when idle
@@ -88,11 +89,11 @@
 	if p.Slowness <= 0 {
 		p.Slowness = 1
 	}
-	return &Engine{profile: p}
+	return &Engine{profile: p, slowed: 1}
 }
 
-// Slow changes the factor on all times.
-func (e *Engine) Slow(factor float64) { e.profile.Slowness = factor }
+// Slow makes all times longer by a factor; 1 takes that back.
+func (e *Engine) Slow(factor float64) { e.slowed = factor }
 
 // Crash drops all work and keeps the engine down until the given time.
 func (e *Engine) Crash(now, until time.Time) {
@@ -178,7 +179,7 @@
 }
 
 func (e *Engine) scaled(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * e.profile.Slowness)
+	return time.Duration(float64(d) * e.profile.Slowness * e.slowed)
 }
 
 // admit starts waiting jobs in free places.
--- a/core/engine/engine_test.go
+++ b/core/engine/engine_test.go
@@ -119,3 +119,12 @@
 	assert.Equal(t, took(2), first)
 	assert.Equal(t, took(1), first, "its place was taken")
 }
+
+// A trouble's end once gave an engine the speed 1 instead of its own.
+func TestSlownessOfATroubleIsTakenBack(t *testing.T) {
+	e := New(Profile{Slots: 1, Queue: 5, Plain: true, Slowness: 2})
+	e.Slow(8)
+	e.Slow(1)
+	e.Arrive(start, Job{ID: 1, Work: 10 * time.Millisecond})
+	assert.DeepEqual(t, e.Advance(at(1000)), []Event{{at(20), 1, Began}, {at(20), 1, Ended}})
+}
