--- a/core/replay/patterns.go
+++ b/core/replay/patterns.go
@@ -86,7 +86,7 @@
 // Patterns lists the named patterns, each in both shapes.
 func Patterns() []Pattern {
 	var all []Pattern
-	for _, p := range append(loads(), special()...) {
+	for _, p := range append(loads(), troubled()...) {
 		p.Length = 20 * time.Second
 		for _, name := range []string{"half", "tenth"} {
 			shape, _ := Shapes(name)
@@ -144,8 +144,8 @@
 	}
 }
 
-// special are patterns in which targets have troubles.
-func special() []plan {
+// troubled are patterns in which targets have troubles.
+func troubled() []plan {
 	slowed, crashed, failing, back := trouble(5, 8, 0.25), trouble(6, 3, 0.25), trouble(5, 5, 1), trouble(5, 2, 1.0/3)
 	slowed.Slow, crashed.Crash, failing.Fail, back.Crash, back.Cold = 8, true, 0.45, true, 3*time.Second
 	return []plan{
--- a/io/pack/pack.go
+++ b/io/pack/pack.go
@@ -1,6 +1,6 @@
 // Package pack is the compact form of the messages that hosts send for every
 // request: CBOR with numbers for field names, inside one JSON string. JSON would
-// take about three times the bytes, which count between availability zones.
+// take two to three times the bytes, which count between availability zones.
 package pack
 
 import (
