Logs, metrics: what is held against a content, and why not

Neither logs nor metrics told whether crashes of targets were not counted, were forgotten, or were not recognised as one content's. Requests and attempts now name their content; each suspicion, record and lapse is a line with content, target, age and count, and a counter by step.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -49,6 +49,7 @@
 	share    float64 // part of the fleet that is reached from here
 	crashes  *crash.Records
 	told     uint64 // crashes that were handed out by Crashes
+	notes    []CrashNote
 
 	grants   map[netip.AddrPort][]Grant
 	refusals map[netip.AddrPort][]Refusal
@@ -173,7 +174,7 @@
 	if t.published != nil && r.ask != nil {
 		switch d.Outcome {
 		case Broken:
-			t.broke(now, d.Took, r.ask.ask.Content)
+			b.broke(now, t, d.Took, r.ask.ask.Content)
 		case NoConnect:
 			b.crashed(now, t.published.Address, t)
 		}
@@ -221,6 +222,9 @@
 
 // Tick does what is due by time: it refuses what cannot be served any more.
 func (b *Broker) Tick(now time.Time) {
+	for _, t := range b.targets {
+		b.lapse(now, t)
+	}
 	for service := range b.queues {
 		b.shed(now, service)
 		b.match(now, service)
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -418,6 +418,29 @@
 	}
 }
 
+// What became of each suspicion is told, so that logs show why a content was or
+// was not refused.
+func TestCrashNotes(t *testing.T) {
+	w := newWorld(1)
+	steps := func() (steps []CrashStep) {
+		for _, n := range w.b.CrashNotes() {
+			assert.Equal(t, n.Content, model.Fingerprint(7))
+			steps = append(steps, n.Step)
+		}
+		return steps
+	}
+	id := w.ask(hostA, Ask{Content: 7})
+	w.done(hostA, id, Broken, 0)
+	assert.DeepEqual(t, steps(), []CrashStep{CrashSuspected})
+	w.pass(doubtFor)
+	assert.DeepEqual(t, steps(), []CrashStep{CrashLapsed})
+	id = w.ask(hostA, Ask{Content: 7})
+	w.done(hostA, id, Broken, 0)
+	id = w.ask(hostB, Ask{})
+	w.done(hostB, id, NoConnect, 0)
+	assert.DeepEqual(t, steps(), []CrashStep{CrashSuspected, CrashRecorded})
+}
+
 func TestPartOfTheFleetUsesItsPartOfTheAllowance(t *testing.T) {
 	w := newWorld(1)
 	w.b.SetShare(1, 4)
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"yuccadoor/core/member"
@@ -21,6 +22,36 @@
 	crashRetry = comeMost
 )
 
+// CrashStep is what became of a suspicion that a request crashed its target.
+type CrashStep string
+
+// The steps.
+const (
+	CrashSuspected CrashStep = "Suspected" // a run broke off
+	CrashRecorded  CrashStep = "Recorded"  // its target had ended
+	CrashLapsed    CrashStep = "Lapsed"    // nothing has shown within doubtFor that the target had ended
+)
+
+// CrashNote tells what is held against a content and why, for logs and metrics.
+type CrashNote struct {
+	Step    CrashStep
+	Content model.Fingerprint
+	Target  netip.AddrPort
+	Age     time.Duration // since the run broke off
+	Crashes int           // recorded of the content so far
+}
+
+// CrashNotes returns the steps since the last call.
+func (b *Broker) CrashNotes() []CrashNote {
+	notes := b.notes
+	b.notes = nil
+	return notes
+}
+
+func (b *Broker) note(now time.Time, step CrashStep, t *target, d doubt) {
+	b.notes = append(b.notes, CrashNote{step, d.content, t.published.Address, now.Sub(d.at), b.crashes.Count(now, d.content)})
+}
+
 // doubt is a run that broke: its target may have crashed, or only a connection.
 type doubt struct {
 	content model.Fingerprint
@@ -29,17 +60,25 @@
 }
 
 // broke notes that a run ended with a broken connection.
-func (t *target) broke(now time.Time, took time.Duration, content model.Fingerprint) {
+func (b *Broker) broke(now time.Time, t *target, took time.Duration, content model.Fingerprint) {
 	if content == 0 {
 		return
 	}
-	kept := t.doubts[:0]
-	for _, d := range t.doubts {
-		if now.Sub(d.at) < doubtFor {
-			kept = append(kept, d)
+	b.lapse(now, t)
+	d := doubt{content, now, took}
+	t.doubts = append(t.doubts, d)
+	b.note(now, CrashSuspected, t, d)
+}
+
+// lapse drops the doubts of a target that nothing has confirmed in time.
+func (b *Broker) lapse(now time.Time, t *target) {
+	t.doubts = slices.DeleteFunc(t.doubts, func(d doubt) bool {
+		old := now.Sub(d.at) >= doubtFor
+		if old {
+			b.note(now, CrashLapsed, t, d)
 		}
-	}
-	t.doubts = append(kept, doubt{content, now, took})
+		return old
+	})
 }
 
 // Crashes gives what is held against contents if there is something new since it
@@ -61,10 +100,10 @@
 // crashed holds the runs that broke lately against their contents: the target
 // takes no connections, or has started anew.
 func (b *Broker) crashed(now time.Time, address netip.AddrPort, t *target) {
+	b.lapse(now, t)
 	for _, d := range t.doubts {
-		if now.Sub(d.at) < doubtFor {
-			b.crashes.Crashed(d.at, d.took, d.content, address)
-		}
+		b.crashes.Crashed(d.at, d.took, d.content, address)
+		b.note(now, CrashRecorded, t, d)
 	}
 	t.doubts = nil
 }
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -79,6 +79,12 @@
 	r.size++
 }
 
+// Count is how many crashes of a content are known.
+func (r *Records) Count(now time.Time, f model.Fingerprint) int {
+	r.expire(now)
+	return len(r.crashes[f])
+}
+
 // Refused reports whether a content is to be refused, and for how long.
 func (r *Records) Refused(now time.Time, f model.Fingerprint) (time.Duration, bool) {
 	r.expire(now)
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -22,6 +22,9 @@
 // Fingerprint identifies the content of a request, whoever sends it.
 type Fingerprint uint64
 
+// String gives a fingerprint as logs name it.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Incarnation tells two runs of a process at the same address apart.
 type Incarnation uint64
 
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -46,6 +46,11 @@
 	Event(level, message string, fields ...any)
 }
 
+// Counters count what is decided.
+type Counters interface {
+	Crash(step broker.CrashStep)
+}
+
 // Settings are what the coordination needs to know at its start.
 type Settings struct {
 	Self        netip.AddrPort // towards other hosts
@@ -55,6 +60,7 @@
 	Seeds       []netip.AddrPort
 	Tolerance   quota.Tolerance // of workspaces' allowances
 	Log         Logger
+	Counters    Counters // nil for none
 	Now         func() time.Time
 	// Awake reads a clock that goes on while the process is suspended.
 	Awake func() time.Duration
@@ -204,6 +210,7 @@
 			break
 		}
 	}
+	c.noteCrashes()
 	c.flushCrashes(now)
 }
 
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"yuccadoor/core/broker"
@@ -36,6 +37,16 @@
 	Crashes []member.Crash `cbor:"1,keyasint,omitempty"`
 }
 
+// noteCrashes logs and counts what is held against contents, and what is not.
+func (c *Coord) noteCrashes() {
+	for _, n := range c.broker.CrashNotes() {
+		c.settings.Log.Event("info", "crash "+strings.ToLower(string(n.Step)), "Content", n.Content, "Address", n.Target, "Age", n.Age, "Crashes", n.Crashes)
+		if c.settings.Counters != nil {
+			c.settings.Counters.Crash(n.Step)
+		}
+	}
+}
+
 // flushCrashes tells what is new.
 func (c *Coord) flushCrashes(now time.Time) {
 	crashes := c.broker.Crashes(now)
--- a/io/edge/counts.go
+++ b/io/edge/counts.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 
+	"yuccadoor/core/broker"
 	"yuccadoor/core/burn"
 	"yuccadoor/io/coord"
 	"yuccadoor/io/gate"
@@ -90,6 +91,11 @@
 	}
 }
 
+// Crash implements coord.Counters.
+func (n *counts) Crash(step broker.CrashStep) {
+	n.set.GetOrCreateCounter(fmt.Sprintf(`yuccadoor_crash_suspicions_total{step=%q}`, step)).Inc()
+}
+
 // Sent implements mesh.Counters.
 func (n *counts) Sent(_ string, bytes int) {
 	n.set.GetOrCreateCounter("yuccadoor_peer_sent_bytes_total").Add(bytes)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -151,9 +151,13 @@
 }
 
 func (h *Host) startCoord(ctx context.Context, k *kernel.Kernel) (any, kernel.Cleanup, error) {
+	n, err := kernel.Lookup[*counts](k, serviceCounts)
+	if err != nil {
+		return nil, nil, err
+	}
 	c, cleanup := coord.New(ctx, coord.Settings{
 		Self: h.settings.Peer, Zone: h.settings.Zone, Incarnation: rand.Uint64(), Power: h.settings.Power,
-		Seeds: h.settings.Seeds, Tolerance: h.settings.Tolerance, Spread: h.settings.Spread, Log: h.log, Now: h.options.Now, Awake: awake,
+		Seeds: h.settings.Seeds, Tolerance: h.settings.Tolerance, Spread: h.settings.Spread, Log: h.log, Counters: n, Now: h.options.Now, Awake: awake,
 		Paused: func() {
 			if s, err := kernel.Lookup[*relay.Sender](k, serviceRelay); err == nil {
 				s.DropIdle()
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -47,7 +47,7 @@
 		c.ran++
 	}
 	if r.err != nil || r.outcome != broker.Good {
-		c.gate.Log.Event("info", "attempt ended", "Request", c.caller.ID, "Target", t.ID, "Address", t.Address,
+		c.gate.Log.Event("info", "attempt ended", "Request", c.caller.ID, "Content", c.content, "Target", t.ID, "Address", t.Address,
 			"Outcome", r.outcome, "Status", r.status, "MayHaveRun", r.mayHaveRun, "Took", r.took, "Error", r.err)
 	}
 	return r
--- a/io/gate/call.go
+++ b/io/gate/call.go
@@ -270,7 +270,7 @@
 	if c.view.Config != nil {
 		version = c.view.Config.Version
 	}
-	c.gate.Log.Event("info", "request ended", "Request", c.caller.ID, "Route", route, "Service", c.service,
+	c.gate.Log.Event("info", "request ended", "Request", c.caller.ID, "Content", c.content, "Route", route, "Service", c.service,
 		"Workspace", o.Workspace, "Tier", tier, "Class", class, "Status", c.status, "Cause", c.cause, "Target", c.target,
 		"Sends", c.sends, "Ran", c.ran, "Waited", c.waited, "Turn", c.turn, "After", c.after,
 		"Prompt", c.caller.Prompt, "Output", c.caller.Output, "Events", c.tokens, "Aim", aim, "First", c.first, "Total", total,
