Crashes: a run that broke off is examined by the host that sent it

A target that broke ranks lower or is ejected for 0.5 to 4 s, and its entry changes when it is back or after 3.6 s, so that nearly all suspicions lapsed. They also went with the leading host, and runs taken over from a former leader had no content. Runs that ended with their time or with their caller while the target was silent were no suspicions at all. The class: evidence that was left to chance traffic, and forgotten before it could come.

Change: the host that sent the run looks at the target itself, by a connection that the next call uses, and reports the break: a crash if the target takes none, or if it is published with another start within two beats. Every host records what it saw and tells all hosts. A run that ends with its time or its caller after a second of silence is examined as well. The leader's doubts are gone.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -48,8 +48,10 @@
 	quota    *quota.Buckets
 	share    float64 // part of the fleet that is reached from here
 	crashes  *crash.Records
-	told     uint64 // crashes that were handed out by Crashes
-	notes    []CrashNote
+	// toldCrashes counts the crashes that Crashes has handed out.
+	toldCrashes uint64
+	breaks      []Break // that may be crashes
+	notes       []CrashNote
 
 	grants   map[netip.AddrPort][]Grant
 	refusals map[netip.AddrPort][]Refusal
@@ -61,7 +63,7 @@
 	return &Broker{
 		roster: roster.New().Snapshot(), config: (&routes.Config{}).Index(),
 		queues: map[string][]*waiting{}, runs: map[key]*run{}, targets: map[string]*target{},
-		services: map[string]*answers{}, sizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(self, condemnAt), share: 1,
+		services: map[string]*answers{}, sizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(self, crashLimit), share: 1,
 		grants: map[netip.AddrPort][]Grant{}, refusals: map[netip.AddrPort][]Refusal{},
 	}
 }
@@ -88,9 +90,8 @@
 // SetRoster takes a new view of the targets.
 func (b *Broker) SetRoster(now time.Time, s *roster.Snapshot) {
 	b.roster = s
-	for id, k := range b.targets {
+	for id := range b.targets {
 		if s.Targets[id] == nil {
-			b.crashed(now, k.published.Address, k)
 			delete(b.targets, id)
 		}
 	}
@@ -100,11 +101,9 @@
 			k = newTarget(now)
 			b.targets[id] = k
 		}
-		if k.published != nil && k.published.Born != t.Born {
-			b.crashed(now, t.Address, k)
-		}
 		k.published = t
 	}
+	b.settleBreaks(now)
 	b.matchAll(now)
 }
 
@@ -116,7 +115,7 @@
 	}
 	w := &waiting{key: k, ask: a, aimAt: now.Add(a.Aim), endAt: now.Add(a.Left), cost: costOf(a)}
 	w.density = b.worthOf(a) / w.cost
-	if _, condemned := b.crashes.Refused(now, a.Content); condemned && a.Content != 0 {
+	if _, refused := b.crashes.Refused(now, a.Content); refused && a.Content != 0 {
 		b.refuse(k, Refusal{ID: a.ID, After: crashRetry, Cause: "CrashesTargets"})
 		return
 	}
@@ -171,14 +170,6 @@
 	if t.published != nil {
 		b.setAside(now, t)
 	}
-	if t.published != nil && r.ask != nil {
-		switch d.Outcome {
-		case Broken:
-			b.broke(now, t, d.Took, r.ask.ask.Content)
-		case NoConnect:
-			b.crashed(now, t.published.Address, t)
-		}
-	}
 	if d.Outcome == Good && d.First > 0 && t.published != nil {
 		b.learnFirst(t, d.First, prompt)
 	}
@@ -222,9 +213,7 @@
 
 // Tick does what is due by time: it refuses what cannot be served any more.
 func (b *Broker) Tick(now time.Time) {
-	for _, t := range b.targets {
-		b.lapse(now, t)
-	}
+	b.settleBreaks(now)
 	for service := range b.queues {
 		b.shed(now, service)
 		b.match(now, service)
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
@@ -386,58 +385,90 @@
 
 // A content that was at three crashes is refused; one that ran beside two of
 // them, and answers that were only lost on the way, are not.
+// broke reports that a run broke off at its target.
+func (w *world) broke(id uint64, content model.Fingerprint, target string, refused bool) {
+	t := w.b.roster.Targets[target]
+	w.b.Broke(w.now, Break{
+		Request: fmt.Sprint(id), Content: content, Target: target, Address: t.Address, Born: t.Born, At: w.now, Refused: refused,
+	})
+	w.take()
+}
+
 func TestContentThatCrashesTargets(t *testing.T) {
 	w := newWorld(4)
-	var innocents int
 	const most = 3 // crashes that the platform allows one content
-	for range most {
+	for n := range most {
 		id := w.ask(hostA, Ask{Content: 7})
 		at := w.granted(hostA, id)
 		assert.Assert(t, at != "")
-		beside := w.ask(hostB, Ask{Content: 8, Avoid: slices.DeleteFunc([]string{"t0", "t1", "t2", "t3"}, func(s string) bool { return s == at })})
-		if innocents < 2 && w.granted(hostB, beside) == at {
-			innocents++
-			w.done(hostB, beside, Broken, 0)
-		} else {
-			w.done(hostB, beside, Good, time.Millisecond)
-		}
 		w.done(hostA, id, Broken, 0)
-		next := w.ask(hostB, Ask{Content: 9, Avoid: slices.DeleteFunc([]string{"t0", "t1", "t2", "t3"}, func(s string) bool { return s == at })})
-		w.done(hostB, next, NoConnect, 0)
+		if n < most-1 { // a request beside it, sent once more by its caller
+			w.broke(id, 8, at, true)
+		}
+		w.broke(id, 7, at, true)
 		w.pass(time.Second)
 	}
-	assert.Equal(t, innocents, 2)
 	r := w.refused(hostB, w.ask(hostB, Ask{Content: 7}))
 	assert.Assert(t, r != nil && r.Cause == "CrashesTargets")
 	assert.Assert(t, w.granted(hostB, w.ask(hostB, Ask{Content: 8})) != "")
-	for range 5 {
+	for range 5 { // answers that are lost while their targets go on
 		id := w.ask(hostA, Ask{Content: 10})
-		assert.Assert(t, w.granted(hostA, id) != "")
+		at := w.granted(hostA, id)
+		assert.Assert(t, at != "")
 		w.done(hostA, id, Broken, 0)
+		w.broke(id, 10, at, false)
 		w.pass(3 * time.Second)
 	}
 }
 
+// A target that was back before its connection was found broken takes connections
+// again; only its published start tells that it had ended.
+func TestCrashShowsInThePublishedStart(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before bool // published before the break is reported
+		after  time.Duration
+		step   CrashStep
+	}{
+		{"published at once", true, 0, CrashRecorded},
+		{"published within two beats", false, republish - time.Millisecond, CrashRecorded},
+		{"published long after", false, republish, CrashRuledOut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(1)
+			old := *w.b.roster.Targets["t0"]
+			again := old
+			again.Born++
+			if c.before {
+				w.put(again)
+			}
+			w.b.Broke(w.now, Break{Content: 7, Target: "t0", Address: old.Address, Born: old.Born, At: w.now})
+			w.pass(c.after)
+			if !c.before {
+				w.put(again)
+			}
+			notes := w.b.CrashNotes()
+			assert.Equal(t, notes[len(notes)-1].Step, c.step)
+		})
+	}
+}
+
 // What became of each suspicion is told, so that logs show why a content was or
 // was not refused.
 func TestCrashNotes(t *testing.T) {
 	w := newWorld(1)
 	steps := func() (steps []CrashStep) {
 		for _, n := range w.b.CrashNotes() {
-			assert.Equal(t, n.Content, model.Fingerprint(7))
+			assert.Equal(t, n.Break.Content, model.Fingerprint(7))
 			steps = append(steps, n.Step)
 		}
 		return steps
 	}
-	id := w.ask(hostA, Ask{Content: 7})
-	w.done(hostA, id, Broken, 0)
+	w.broke(1, 7, "t0", false)
 	assert.DeepEqual(t, steps(), []CrashStep{CrashSuspected})
-	w.pass(doubtFor)
-	assert.DeepEqual(t, steps(), []CrashStep{CrashLapsed})
-	id = w.ask(hostA, Ask{Content: 7})
-	w.done(hostA, id, Broken, 0)
-	id = w.ask(hostB, Ask{})
-	w.done(hostB, id, NoConnect, 0)
+	w.pass(republish)
+	assert.DeepEqual(t, steps(), []CrashStep{CrashRuledOut})
+	w.broke(2, 7, "t0", true)
 	assert.DeepEqual(t, steps(), []CrashStep{CrashSuspected, CrashRecorded})
 }
 
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -9,19 +9,32 @@
 	"yuccadoor/core/model"
 )
 
-// Bounds of what is held against a request's content.
+// Bounds of what is recorded of contents that crash targets.
 const (
-	// condemnAt is how many crashes a content is at before it is refused: one
+	// crashLimit is how many crashes a content is at before it is refused: one
 	// more than a request that only ran beside another's crash meets, with its
 	// caller's one repeat.
-	condemnAt = 3
-	// doubtFor is how long after a broken answer a failed connection tells that
-	// the target had crashed.
-	doubtFor = 2 * time.Second
+	crashLimit = 3
+	// republish is within which a target that has started anew is published as
+	// such: two of its beats.
+	republish = 2500 * time.Millisecond
 	// crashRetry is when callers of a refused content are asked to come back.
 	crashRetry = comeMost
 )
 
+// Break is a run that ended without its answer: its target may have ended under
+// it, or only the connection.
+type Break struct {
+	Request string // the caller's id, for logs
+	Content model.Fingerprint
+	Target  string
+	Address netip.AddrPort
+	Born    uint64        // of the target's published lifetime, as the request was sent
+	At      time.Time     // when the run ended
+	Took    time.Duration // from sending to the end
+	Refused bool          // the target took no connection just after
+}
+
 // CrashStep is what became of a suspicion that a request crashed its target.
 type CrashStep string
 
@@ -29,14 +42,13 @@
 const (
 	CrashSuspected CrashStep = "Suspected" // a run broke off
 	CrashRecorded  CrashStep = "Recorded"  // its target had ended
-	CrashLapsed    CrashStep = "Lapsed"    // nothing has shown within doubtFor that the target had ended
+	CrashRuledOut  CrashStep = "RuledOut"  // its target went on
 )
 
 // CrashNote tells what is held against a content and why, for logs and metrics.
 type CrashNote struct {
 	Step    CrashStep
-	Content model.Fingerprint
-	Target  netip.AddrPort
+	Break   Break
 	Age     time.Duration // since the run broke off
 	Crashes int           // recorded of the content so far
 }
@@ -48,62 +60,60 @@
 	return notes
 }
 
-func (b *Broker) note(now time.Time, step CrashStep, t *target, d doubt) {
-	b.notes = append(b.notes, CrashNote{step, d.content, t.published.Address, now.Sub(d.at), b.crashes.Count(now, d.content)})
+func (b *Broker) note(now time.Time, step CrashStep, k Break) {
+	b.notes = append(b.notes, CrashNote{step, k, now.Sub(k.At), b.crashes.Count(now, k.Content)})
 }
 
-// doubt is a run that broke: its target may have crashed, or only a connection.
-type doubt struct {
-	content model.Fingerprint
-	at      time.Time
-	took    time.Duration // from sending to the break
-}
-
-// broke notes that a run ended with a broken connection.
-func (b *Broker) broke(now time.Time, t *target, took time.Duration, content model.Fingerprint) {
-	if content == 0 {
+// Broke takes in a run of this host that broke off. It was a crash if the target
+// takes no connections any more, or turns out to have started anew.
+func (b *Broker) Broke(now time.Time, k Break) {
+	if k.Content == 0 {
 		return
 	}
-	b.lapse(now, t)
-	d := doubt{content, now, took}
-	t.doubts = append(t.doubts, d)
-	b.note(now, CrashSuspected, t, d)
+	b.note(now, CrashSuspected, k)
+	if k.Refused {
+		b.recordCrash(now, k)
+		return
+	}
+	b.breaks = append(b.breaks, k)
+	b.settleBreaks(now)
+}
+
+func (b *Broker) recordCrash(now time.Time, k Break) {
+	b.crashes.Crashed(k.At, k.Took, k.Content, k.Address)
+	b.note(now, CrashRecorded, k)
 }
 
-// lapse drops the doubts of a target that nothing has confirmed in time.
-func (b *Broker) lapse(now time.Time, t *target) {
-	t.doubts = slices.DeleteFunc(t.doubts, func(d doubt) bool {
-		old := now.Sub(d.at) >= doubtFor
-		if old {
-			b.note(now, CrashLapsed, t, d)
+// settleBreaks decides on the breaks whose targets have started anew, or would
+// have been published by now if they had.
+func (b *Broker) settleBreaks(now time.Time) {
+	b.breaks = slices.DeleteFunc(b.breaks, func(k Break) bool {
+		t := b.roster.Targets[k.Target]
+		switch {
+		case t != nil && t.Born != k.Born:
+			b.recordCrash(now, k)
+		case now.Sub(k.At) >= republish:
+			b.note(now, CrashRuledOut, k)
+		default:
+			return false
 		}
-		return old
+		return true
 	})
 }
 
-// Crashes gives what is held against contents if there is something new since it
-// was last asked for, so that other hosts know it should one of them lead.
+// Crashes gives the crashes that were recorded here since it was last asked for,
+// so that other hosts know them.
 func (b *Broker) Crashes(now time.Time) []member.Crash {
-	if b.crashes.Seen() == b.told {
+	after := b.toldCrashes
+	b.toldCrashes = b.crashes.Seen()
+	if after == b.toldCrashes {
 		return nil
 	}
-	b.told = b.crashes.Seen()
-	return b.crashes.Share(now)
+	return b.crashes.Own(now, after)
 }
 
-// AllCrashes gives what is held against contents, for a host that is new here.
+// AllCrashes gives what is recorded of contents, for a host that is new here.
 func (b *Broker) AllCrashes(now time.Time) []member.Crash { return b.crashes.Share(now) }
 
-// LearnCrashes takes in what another broker holds against contents.
+// LearnCrashes takes in what another host has recorded.
 func (b *Broker) LearnCrashes(now time.Time, crashes []member.Crash) { b.crashes.Learn(now, crashes) }
-
-// crashed holds the runs that broke lately against their contents: the target
-// takes no connections, or has started anew.
-func (b *Broker) crashed(now time.Time, address netip.AddrPort, t *target) {
-	b.lapse(now, t)
-	for _, d := range t.doubts {
-		b.crashes.Crashed(d.at, d.took, d.content, address)
-		b.note(now, CrashRecorded, t, d)
-	}
-	t.doubts = nil
-}
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -59,7 +59,6 @@
 	shedUntil time.Time
 	bad       int       // failed answers in a row
 	aside     time.Time // until then it is set aside for failing
-	doubts    []doubt   // runs that broke lately
 	coldUntil time.Time // as it told with an answer
 	nextCold  time.Time // when a cold target may get its next request
 }
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -109,19 +109,32 @@
 
 // Share returns some of the records, all of them in turn.
 func (r *Records) Share(now time.Time) []member.Crash {
+	all := r.collect(now, func(record) bool { return true })
+	if len(all) <= maxShared {
+		return all
+	}
+	r.next = (r.next + maxShared) % len(all)
+	return append(all[r.next:], all[:r.next]...)[:maxShared]
+}
+
+// Own returns the records that were made here after the one with a number.
+func (r *Records) Own(now time.Time, after uint64) []member.Crash {
+	return r.collect(now, func(c record) bool { return c.id.Seer == r.self && c.id.Serial > after })
+}
+
+// collect returns the records for which wanted holds, the latest first.
+func (r *Records) collect(now time.Time, wanted func(record) bool) []member.Crash {
 	r.expire(now)
 	all := make([]member.Crash, 0, r.size)
 	for f, crashes := range r.crashes {
 		for _, c := range crashes {
-			all = append(all, member.Crash{ID: c.id, Fingerprint: f, Target: c.target, Age: now.Sub(c.at), Took: c.at.Sub(c.began)})
+			if wanted(c) {
+				all = append(all, member.Crash{ID: c.id, Fingerprint: f, Target: c.target, Age: now.Sub(c.at), Took: c.at.Sub(c.began)})
+			}
 		}
 	}
 	slices.SortFunc(all, func(a, b member.Crash) int { return cmp.Compare(a.Age, b.Age) })
-	if len(all) <= maxShared {
-		return all
-	}
-	r.next = (r.next + maxShared) % len(all)
-	return append(all[r.next:], all[:r.next]...)[:maxShared]
+	return all
 }
 
 // Learn takes in a peer's records.
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -120,16 +120,16 @@
 }
 
 // crash lets a request of a content crash its target, as its host sees it: the
-// answer breaks off, and no connection is made afterwards.
+// answer breaks off, and the target takes no connections.
 func crash(t *testing.T, c *Coord, a broker.Ask) {
 	t.Helper()
 	id, v := ask(t, c, a)
 	assert.Assert(t, v.Target != "", "%v", v.Refusal)
-	c.Done(broker.Done{ID: id, Target: v.Target, Outcome: broker.Broken, Took: 5 * time.Millisecond})
-	other := map[string]string{"t0": "t1", "t1": "t0"}[v.Target]
-	id, v = ask(t, c, broker.Ask{Avoid: []string{other}})
-	c.Done(broker.Done{ID: id, Target: v.Target, Outcome: broker.NoConnect, Took: time.Millisecond})
-	time.Sleep(300 * time.Millisecond) // the target is back, and connected again
+	const took = 5 * time.Millisecond
+	c.Done(broker.Done{ID: id, Target: v.Target, Outcome: broker.Broken, Took: took})
+	address := c.View().Roster.Targets[v.Target].Address
+	c.Broke(broker.Break{Content: a.Content, Target: v.Target, Address: address, At: time.Now(), Took: took, Refused: true})
+	time.Sleep(2 * took) // the target is back
 }
 
 // What was held against contents went with the leader, so that a content could
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"yuccadoor/core/broker"
@@ -32,28 +31,36 @@
 	Refusals []broker.Refusal `cbor:"2,keyasint,omitempty"`
 }
 
-// Crashes are what a leader holds against contents, told to those that ask it.
+// Crashes are what a host has recorded of contents that crash targets.
 type Crashes struct {
 	Crashes []member.Crash `cbor:"1,keyasint,omitempty"`
 }
 
+// crashEvents names the steps in logs.
+var crashEvents = map[broker.CrashStep]string{
+	broker.CrashSuspected: "crash suspected", broker.CrashRecorded: "crash recorded", broker.CrashRuledOut: "crash ruled out",
+}
+
 // noteCrashes logs and counts what is held against contents, and what is not.
 func (c *Coord) noteCrashes() {
 	for _, n := range c.broker.CrashNotes() {
-		c.settings.Log.Event("info", "crash "+strings.ToLower(string(n.Step)), "Content", n.Content, "Address", n.Target, "Age", n.Age, "Crashes", n.Crashes)
+		k := n.Break
+		c.settings.Log.Event("info", crashEvents[n.Step], "Request", k.Request, "Content", k.Content, "Target", k.Target,
+			"Address", k.Address, "Refused", k.Refused, "Took", k.Took, "Age", n.Age, "Crashes", n.Crashes)
 		if c.settings.Counters != nil {
 			c.settings.Counters.Crash(n.Step)
 		}
 	}
 }
 
-// flushCrashes tells what is new.
+// flushCrashes tells all other hosts which crashes were recorded here: any of them
+// may lead next.
 func (c *Coord) flushCrashes(now time.Time) {
 	crashes := c.broker.Crashes(now)
 	if len(crashes) == 0 {
 		return
 	}
-	for h := range c.asking {
+	for _, h := range c.hosts.Alive(now) {
 		if h != c.self() {
 			c.mesh.Send(h, methodCrashes, pack.Of(Crashes{crashes}))
 		}
--- a/io/coord/requests.go
+++ b/io/coord/requests.go
@@ -84,6 +84,11 @@
 	c.post(func(now time.Time) { c.finish(now, d) })
 }
 
+// Broke reports a run that ended without its answer.
+func (c *Coord) Broke(k broker.Break) {
+	c.post(func(now time.Time) { c.broker.Broke(now, k) })
+}
+
 func (c *Coord) finish(_ time.Time, d broker.Done) {
 	target, ok := c.running[d.ID]
 	if !ok {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -235,7 +235,7 @@
 	return server, cleanup, errors.Wrap(err, "listen for operators")
 }
 
-func (h *Host) startFront(_ context.Context, k *kernel.Kernel) (any, kernel.Cleanup, error) {
+func (h *Host) startFront(ctx context.Context, k *kernel.Kernel) (any, kernel.Cleanup, error) {
 	sender, err := kernel.Lookup[*relay.Sender](k, serviceRelay)
 	if err != nil {
 		return nil, nil, err
@@ -244,10 +244,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	h.gate = gate.New(gate.Settings{
+	g, cleanGate := gate.New(ctx, gate.Settings{
 		Coord: h.coord, Sender: sender, Dialect: h.options.Dialect, Log: h.log, Recorder: n,
 		Now: h.options.Now, Budget: budget.New(h.settings.Retries), Zone: h.settings.Zone,
 	})
+	h.gate = g
 	h.front = &http.Server{
 		Handler: h.gate, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headTimeout, ConnState: h.idle.changed,
 	}
@@ -263,6 +264,7 @@
 		if cleanup != nil {
 			cleanup()
 		}
+		cleanGate()
 	}, errors.Wrap(err, "listen for callers")
 }
 
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -20,6 +20,7 @@
 	took       time.Duration
 	first      time.Duration // from sending to the first event; 0 for none
 	firstAt    time.Time     // when the first event came; zero for none
+	heardAt    time.Time     // when the last event came; zero for none
 	coldLeft   time.Duration // as the target told; 0 for warm or not told
 	status     int           // of a target's answer that was not passed on; 0 for none
 	header     http.Header
@@ -46,6 +47,11 @@
 	if r.mayHaveRun {
 		c.ran++
 	}
+	if r.broke(begun.Add(r.took), begun) {
+		c.gate.examine(broker.Break{
+			Request: c.caller.ID, Content: c.content, Target: t.ID, Address: t.Address, Born: t.Born, At: begun.Add(r.took), Took: r.took,
+		})
+	}
 	if r.err != nil || r.outcome != broker.Good {
 		c.gate.Log.Event("info", "attempt ended", "Request", c.caller.ID, "Content", c.content, "Target", t.ID, "Address", t.Address,
 			"Outcome", r.outcome, "Status", r.status, "MayHaveRun", r.mayHaveRun, "Took", r.took, "Error", r.err)
@@ -190,6 +196,7 @@
 			c.begin(a)
 		}
 		c.tokens++
+		r.heardAt = c.gate.Now()
 		_, err = c.writer.Write(e.Raw)
 		if err == nil {
 			err = control.Flush()
--- /dev/null
+++ b/io/gate/breaks.go
@@ -0,0 +1,92 @@
+package gate
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"yuccadoor/core/broker"
+	"yuccadoor/io/relay"
+)
+
+// Bounds of the examination of runs that broke off.
+const (
+	// breakRing is how many may wait for it: more than break off at once when an
+	// availability zone is lost.
+	breakRing = 256
+	// silentBreak is after how long without a sign of the target the end of a
+	// request's time, or its caller's leaving, may hide a crash.
+	silentBreak = time.Second
+)
+
+// broke reports whether the target may have ended under the run.
+func (r *result) broke(now, begun time.Time) bool {
+	switch r.outcome {
+	case broker.Broken:
+		return true
+	case broker.Cancelled:
+		heard := begun
+		if r.heardAt.After(begun) {
+			heard = r.heardAt
+		}
+		return r.mayHaveRun && now.Sub(heard) >= silentBreak
+	}
+	return false
+}
+
+// examine hands over a run that broke off. If too many wait, it is not examined.
+func (g *Gate) examine(k broker.Break) {
+	if !g.breaks.Offer(k) {
+		g.Log.Event("warn", "break not examined", "Request", k.Request, "Content", k.Content, "Target", k.Target)
+	}
+}
+
+// examineBreaks finds out whether the targets of runs that broke off still take
+// connections, and reports the runs to the coordination.
+func (g *Gate) examineBreaks(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case k := <-g.breaks.Items():
+			g.examineTargets(ctx, g.waitingBreaks(k))
+		}
+	}
+}
+
+// waitingBreaks collects a break and those that wait, by target's address.
+func (g *Gate) waitingBreaks(first broker.Break) map[netip.AddrPort][]broker.Break {
+	breaks := map[netip.AddrPort][]broker.Break{first.Address: {first}}
+	for {
+		select {
+		case k := <-g.breaks.Items():
+			breaks[k.Address] = append(breaks[k.Address], k)
+		default:
+			return breaks
+		}
+	}
+}
+
+func (g *Gate) examineTargets(ctx context.Context, breaks map[netip.AddrPort][]broker.Break) {
+	var examining sync.WaitGroup
+	for target, ks := range breaks {
+		examining.Go(func() {
+			refused := takesNone(g.Sender.Listens(ctx, target))
+			for _, k := range ks {
+				k.Refused = refused
+				g.Coord.Broke(k)
+			}
+		})
+	}
+	examining.Wait()
+}
+
+// takesNone tells a target that takes no connections from a host that can open
+// none.
+func takesNone(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || relay.Timeout(err)
+}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -13,6 +13,7 @@
 
 	"yuccadoor/core/broker"
 	"yuccadoor/core/budget"
+	"yuccadoor/core/ring"
 	"yuccadoor/core/routes"
 	"yuccadoor/io/coord"
 	"yuccadoor/io/relay"
@@ -44,6 +45,7 @@
 	Submit(a broker.Ask) (uint64, <-chan coord.Verdict)
 	Cancel(id uint64)
 	Done(d broker.Done)
+	Broke(k broker.Break)
 }
 
 // Caller is what a request's head says.
@@ -116,11 +118,22 @@
 	Settings
 	mu       sync.Mutex // guards Settings.Budget
 	stopping chan struct{}
+	breaks   *ring.Ring[broker.Break]
 }
 
-// New returns a gate.
-func New(s Settings) *Gate {
-	return &Gate{Settings: s, stopping: make(chan struct{})}
+// New starts a gate and returns it with its clean-up function.
+func New(ctx context.Context, s Settings) (*Gate, func()) {
+	g := &Gate{Settings: s, stopping: make(chan struct{}), breaks: ring.New[broker.Break](breakRing)}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.examineBreaks(ctx)
+	}()
+	return g, func() {
+		cancel()
+		<-done
+	}
 }
 
 // Stop makes answers close their connections from now on.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -106,6 +106,17 @@
 	}
 }
 
+// Listens reports whether a target takes connections. The one that shows it is
+// kept for the next call.
+func (s *Sender) Listens(ctx context.Context, target netip.AddrPort) error {
+	l, err := s.pool.Fresh(ctx, target)
+	if err != nil {
+		return errors.Wrapf(err, "connect to target %s", target)
+	}
+	s.pool.Put(target, l, idleLife)
+	return nil
+}
+
 // DropIdle closes all idle connections, as after a pause of the process.
 func (s *Sender) DropIdle() { s.pool.Close() }
 
