Crashes: a content that is answered whole is not held to crash targets

Three targets that crash for reasons of their own while they run one content that many callers send got that content refused for ten minutes: crashes of a content were never forgotten sooner. Now that crashes are seen reliably this would come up with each loss of a few targets.

A request that crashes the targets that run it is never answered whole, so that a whole answer clears what was recorded of its content before, on all hosts; records that are told later stay away. serve does the same, whose crashes are shared by gossip.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -50,6 +50,7 @@
 	crashes  *crash.Records
 	// toldCrashes counts the crashes that Crashes has handed out.
 	toldCrashes uint64
+	cleared     bool    // a content has been answered since Answers was last asked for
 	breaks      []Break // that may be crashes
 	notes       []CrashNote
 
@@ -170,6 +171,9 @@
 	if t.published != nil {
 		b.setAside(now, t)
 	}
+	if d.Outcome == Good && r.ask != nil {
+		b.answeredWhole(now, r.ask.ask, r.target)
+	}
 	if d.Outcome == Good && d.First > 0 && t.published != nil {
 		b.learnFirst(t, d.First, prompt)
 	}
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -421,6 +421,22 @@
 	}
 }
 
+func TestContentThatIsAnsweredIsNotRefused(t *testing.T) {
+	w := newWorld(4)
+	inFlight := w.ask(hostB, Ask{Content: 7})
+	for range crashLimit {
+		id := w.ask(hostA, Ask{Content: 7})
+		w.done(hostA, id, Broken, 0)
+		w.broke(id, 7, w.granted(hostA, id), true)
+		w.pass(time.Second)
+	}
+	assert.Assert(t, w.refused(hostA, w.ask(hostA, Ask{Content: 7})) != nil)
+	w.done(hostB, inFlight, Good, time.Second)
+	assert.Assert(t, w.granted(hostA, w.ask(hostA, Ask{Content: 7})) != "")
+	assert.Equal(t, len(w.b.Answers(w.now)), 1)
+	assert.Equal(t, len(w.b.Answers(w.now)), 0)
+}
+
 // A target that was back before its connection was found broken takes connections
 // again; only its published start tells that it had ended.
 func TestCrashShowsInThePublishedStart(t *testing.T) {
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -43,6 +43,7 @@
 	CrashSuspected CrashStep = "Suspected" // a run broke off
 	CrashRecorded  CrashStep = "Recorded"  // its target had ended
 	CrashRuledOut  CrashStep = "RuledOut"  // its target went on
+	CrashesCleared CrashStep = "Cleared"   // a target has answered the content whole
 )
 
 // CrashNote tells what is held against a content and why, for logs and metrics.
@@ -101,6 +102,32 @@
 	})
 }
 
+// answeredWhole takes in that a target answered a request to its end.
+func (b *Broker) answeredWhole(now time.Time, a Ask, target string) {
+	if b.crashes.Answered(now, a.Content) {
+		b.cleared = true
+		b.note(now, CrashesCleared, Break{Content: a.Content, Target: target, At: now})
+	}
+}
+
+// Answers gives the contents of which crashes are known and that were answered
+// since, if there are new ones since it was last asked for.
+func (b *Broker) Answers(now time.Time) []member.Answer {
+	if !b.cleared {
+		return nil
+	}
+	b.cleared = false
+	return b.crashes.Answers(now)
+}
+
+// AllAnswers gives all of them, for a host that is new here.
+func (b *Broker) AllAnswers(now time.Time) []member.Answer { return b.crashes.Answers(now) }
+
+// LearnAnswers takes in what another host knows of them.
+func (b *Broker) LearnAnswers(now time.Time, answers []member.Answer) {
+	b.crashes.LearnAnswers(now, answers)
+}
+
 // Crashes gives the crashes that were recorded here since it was last asked for,
 // so that other hosts know them.
 func (b *Broker) Crashes(now time.Time) []member.Crash {
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -50,15 +51,20 @@
 	self    uint64 // number of this host's process, in the ids of its records
 	serial  uint64 // of the last record made here
 	crashes map[model.Fingerprint][]record
-	limit   int // crashes at which a content is refused
-	size    int
-	next    int // where the next message starts
+	// answered is when contents with crashes were last answered whole. Crashes
+	// before that had another cause.
+	answered map[model.Fingerprint]time.Time
+	limit    int // crashes at which a content is refused
+	size     int
+	next     int // where the next message starts
 }
 
 // NewRecords returns empty records of the process with this number, which no
 // other process has, that refuse a content at so many crashes.
 func NewRecords(self uint64, limit int) *Records {
-	return &Records{self: self, crashes: map[model.Fingerprint][]record{}, limit: limit}
+	return &Records{
+		self: self, crashes: map[model.Fingerprint][]record{}, answered: map[model.Fingerprint]time.Time{}, limit: limit,
+	}
 }
 
 // Crashed records that a target broke at a time, while it ran a content that it
@@ -72,13 +78,43 @@
 func (r *Records) Seen() uint64 { return r.serial }
 
 func (r *Records) add(f model.Fingerprint, c record) {
-	if slices.ContainsFunc(r.crashes[f], c.sameCrash) || r.size >= maxRecords {
+	if slices.ContainsFunc(r.crashes[f], c.sameCrash) || r.size >= maxRecords || !c.at.After(r.answered[f]) {
 		return
 	}
 	r.crashes[f] = append(r.crashes[f], c)
 	r.size++
 }
 
+// Answered takes in that a target has answered a content whole: it does not crash
+// those that run it. It reports whether crashes were recorded of it.
+func (r *Records) Answered(now time.Time, f model.Fingerprint) bool {
+	if len(r.crashes[f]) == 0 {
+		return false
+	}
+	r.clear(f, now)
+	return true
+}
+
+// clear drops what was recorded of a content up to a time.
+func (r *Records) clear(f model.Fingerprint, until time.Time) {
+	if !until.After(r.answered[f]) {
+		return
+	}
+	r.answered[f] = until
+	r.keep(f, func(c record) bool { return c.at.After(until) })
+}
+
+// keep drops the records of a content for which wanted does not hold.
+func (r *Records) keep(f model.Fingerprint, wanted func(record) bool) {
+	before := len(r.crashes[f])
+	kept := slices.DeleteFunc(r.crashes[f], func(c record) bool { return !wanted(c) })
+	r.size -= before - len(kept)
+	r.crashes[f] = kept
+	if len(kept) == 0 {
+		delete(r.crashes, f)
+	}
+}
+
 // Count is how many crashes of a content are known.
 func (r *Records) Count(now time.Time, f model.Fingerprint) int {
 	r.expire(now)
@@ -97,12 +133,27 @@
 }
 
 func (r *Records) expire(now time.Time) {
-	for f, crashes := range r.crashes {
-		kept := slices.DeleteFunc(crashes, func(c record) bool { return now.Sub(c.at) >= Expiry })
-		r.size -= len(crashes) - len(kept)
-		r.crashes[f] = kept
-		if len(kept) == 0 {
-			delete(r.crashes, f)
+	for f := range r.crashes {
+		r.keep(f, func(c record) bool { return now.Sub(c.at) < Expiry })
+	}
+	maps.DeleteFunc(r.answered, func(_ model.Fingerprint, at time.Time) bool { return now.Sub(at) >= Expiry })
+}
+
+// Answers returns which contents with crashes were answered since.
+func (r *Records) Answers(now time.Time) []member.Answer {
+	r.expire(now)
+	answers := make([]member.Answer, 0, len(r.answered))
+	for f, at := range r.answered {
+		answers = append(answers, member.Answer{Fingerprint: f, Age: now.Sub(at)})
+	}
+	return answers
+}
+
+// LearnAnswers takes in which contents other hosts have seen answered.
+func (r *Records) LearnAnswers(now time.Time, answers []member.Answer) {
+	for _, a := range answers {
+		if a.Age >= 0 && a.Age < Expiry {
+			r.clear(a.Fingerprint, now.Add(-a.Age))
 		}
 	}
 }
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -78,3 +78,42 @@
 	_, refused := one.Refused(start.Add(time.Second), content)
 	assert.Assert(t, !refused)
 }
+
+// A content that many callers send was refused for ten minutes once three of its
+// targets had crashed for other reasons.
+func TestContentThatIsAnsweredIsNotRefused(t *testing.T) {
+	one, two, three := NewRecords(1, 2), NewRecords(2, 2), NewRecords(3, 2)
+	records := []*Records{one, two, three}
+	share := func(now time.Time, from *Records) {
+		for _, r := range records {
+			r.LearnAnswers(now, from.Answers(now))
+			r.Learn(now, from.Share(now))
+		}
+	}
+	refused := func(now time.Time, want bool) {
+		t.Helper()
+		for i, r := range records {
+			_, got := r.Refused(now, content)
+			assert.Equal(t, got, want, "records %d", i)
+		}
+	}
+	now := start
+	one.Crashed(now, time.Millisecond, content, targetA)
+	one.Crashed(now, time.Millisecond, content, targetB)
+	share(now, one)
+	refused(now, true)
+
+	now = now.Add(time.Second)
+	assert.Assert(t, two.Answered(now, content))
+	share(now, two)
+	share(now, one) // records that are told once more stay away
+	share(now, three)
+	refused(now, false)
+
+	now = now.Add(time.Second)
+	one.Crashed(now, time.Millisecond, content, targetA)
+	one.Crashed(now, time.Millisecond, content, targetB)
+	share(now, one)
+	refused(now, true)
+	assert.Assert(t, !two.Answered(now, content+1))
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -38,6 +38,13 @@
 	Serial uint64 `cbor:"2,keyasint,omitempty"`
 }
 
+// Answer tells that a target has answered a content whole of which crashes are
+// recorded.
+type Answer struct {
+	Fingerprint model.Fingerprint `cbor:"1,keyasint,omitempty"`
+	Age         time.Duration     `cbor:"2,keyasint,omitempty"` // since the answer
+}
+
 // Crash is a record of a request content that broke its target.
 type Crash struct {
 	ID          CrashID           `cbor:"1,keyasint,omitempty"`
@@ -56,6 +63,7 @@
 	Count          int64                 // the sender's own counter
 	Beats          []Beat                `json:",omitempty"`
 	Crashes        []Crash               `json:",omitempty"`
+	Answers        []Answer              `json:",omitempty"`
 	Lowest         map[string]model.Tier `json:",omitempty"` // least urgent tier waiting, by service
 }
 
--- a/io/coord/facts.go
+++ b/io/coord/facts.go
@@ -73,7 +73,7 @@
 	case methodVerdicts:
 		return unpacked(params, func(_ time.Time, v Verdicts) { c.takeVerdicts(from, v) })
 	case methodCrashes:
-		return unpacked(params, func(now time.Time, m Crashes) { c.broker.LearnCrashes(now, m.Crashes) })
+		return unpacked(params, func(now time.Time, m Crashes) { c.takeCrashes(now, m) })
 	case methodResync:
 		return func(time.Time) {
 			if from == c.leader {
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -33,12 +33,16 @@
 
 // Crashes are what a host has recorded of contents that crash targets.
 type Crashes struct {
-	Crashes []member.Crash `cbor:"1,keyasint,omitempty"`
+	Crashes []member.Crash  `cbor:"1,keyasint,omitempty"`
+	Answers []member.Answer `cbor:"2,keyasint,omitempty"` // contents that were answered since
 }
 
+func (m *Crashes) empty() bool { return len(m.Crashes)+len(m.Answers) == 0 }
+
 // crashEvents names the steps in logs.
 var crashEvents = map[broker.CrashStep]string{
 	broker.CrashSuspected: "crash suspected", broker.CrashRecorded: "crash recorded", broker.CrashRuledOut: "crash ruled out",
+	broker.CrashesCleared: "crashes cleared",
 }
 
 // noteCrashes logs and counts what is held against contents, and what is not.
@@ -53,16 +57,16 @@
 	}
 }
 
-// flushCrashes tells all other hosts which crashes were recorded here: any of them
-// may lead next.
+// flushCrashes tells all other hosts what was recorded here: any of them may lead
+// next.
 func (c *Coord) flushCrashes(now time.Time) {
-	crashes := c.broker.Crashes(now)
-	if len(crashes) == 0 {
+	m := Crashes{c.broker.Crashes(now), c.broker.Answers(now)}
+	if m.empty() {
 		return
 	}
 	for _, h := range c.hosts.Alive(now) {
 		if h != c.self() {
-			c.mesh.Send(h, methodCrashes, pack.Of(Crashes{crashes}))
+			c.mesh.Send(h, methodCrashes, pack.Of(m))
 		}
 	}
 }
@@ -150,11 +154,21 @@
 func (c *Coord) takeSync(now time.Time, host netip.AddrPort, s Sync) {
 	c.asking[host] = true
 	c.broker.Sync(now, host, s.Running, s.Asks)
-	if crashes := c.broker.AllCrashes(now); len(crashes) > 0 && host != c.self() {
-		c.mesh.Send(host, methodCrashes, pack.Of(Crashes{crashes}))
+	if m := c.allCrashes(now); !m.empty() && host != c.self() {
+		c.mesh.Send(host, methodCrashes, pack.Of(m))
 	}
 }
 
+// allCrashes is all that this host has recorded of contents.
+func (c *Coord) allCrashes(now time.Time) Crashes {
+	return Crashes{c.broker.AllCrashes(now), c.broker.AllAnswers(now)}
+}
+
+func (c *Coord) takeCrashes(now time.Time, m Crashes) {
+	c.broker.LearnAnswers(now, m.Answers)
+	c.broker.LearnCrashes(now, m.Crashes)
+}
+
 func (c *Coord) takeAsks(now time.Time, host netip.AddrPort, a Asks) {
 	if !c.asking[host] {
 		c.mesh.Send(host, methodResync, struct{}{})
--- a/io/loop/docs.go
+++ b/io/loop/docs.go
@@ -144,13 +144,14 @@
 	x := l.members.Message(now)
 	x.Incarnation = l.settings.Incarnation
 	x.ConfigRevision = l.config.revision
-	x.Crashes = l.crashes.Share(now)
+	x.Crashes, x.Answers = l.crashes.Share(now), l.crashes.Answers(now)
 	x.Lowest = l.sched.Lowest()
 	return x
 }
 
 func (l *Loop) hear(now time.Time, x member.Exchange) {
 	l.members.Hear(now, x)
+	l.crashes.LearnAnswers(now, x.Answers)
 	l.crashes.Learn(now, x.Crashes)
 	l.sched.PeerWaits(x.From, x.Lowest)
 	if x.ConfigRevision > l.config.revision || x.ListRevision > l.list.Revision {
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -280,6 +280,11 @@
 	_ = l.post(context.Background(), func(now time.Time) { l.crashes.Crashed(now.Add(-ago), took, f, target) })
 }
 
+// Answered reports that a target answered a content whole.
+func (l *Loop) Answered(f model.Fingerprint) {
+	_ = l.post(context.Background(), func(now time.Time) { l.crashes.Answered(now, f) })
+}
+
 // Reported takes in a target's own account: its incarnation and its load.
 func (l *Loop) Reported(target netip.AddrPort, incarnation model.Incarnation, load int) {
 	_ = l.post(context.Background(), func(now time.Time) {
