--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -68,9 +68,6 @@
 // Broke takes in a run of this host that broke off. It was a crash if the target
 // takes no connections any more, or turns out to have started anew.
 func (b *Broker) Broke(now time.Time, k Break) {
-	if k.Content == 0 {
-		return
-	}
 	b.note(now, CrashSuspected, k)
 	if k.Refused {
 		b.recordCrash(now, k)
--- a/core/broker/message.go
+++ b/core/broker/message.go
@@ -21,8 +21,7 @@
 	Avoid     []string      `cbor:"11,keyasint,omitempty"` // targets not to be used again
 	Again     bool          `cbor:"12,keyasint,omitempty"` // asked before: its allowance is used already
 	Zone      string        `cbor:"13,keyasint,omitempty"` // of the asking host
-	// Content identifies path, caller and body, whoever sends them again; 0 if
-	// it is not to be held against the request when a target crashes.
+	// Content identifies path, caller and body, whoever sends them again.
 	Content model.Fingerprint `cbor:"14,keyasint,omitempty"`
 }
 
--- a/io/gate/call.go
+++ b/io/gate/call.go
@@ -132,11 +132,8 @@
 }
 
 // fingerprint identifies the request whoever sends it again: by path, workspace
-// and body. Requests without a body are alike too often to be told apart.
+// and body.
 func (c *call) fingerprint() model.Fingerprint {
-	if len(c.body) == 0 {
-		return 0
-	}
 	d := xxhash.New()
 	_, _ = d.WriteString(c.request.RequestURI)
 	if c.workspace != nil {
