Crashes: further crashes count when the records are full

With 4,096 records no further crash was taken in for up to ten minutes, so that a request could crash targets on and on. The content with the fewest and oldest crashes makes room now. TestCrashesCountWhenRecordsAreFull failed before: not refused.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -78,13 +78,35 @@
 func (r *Records) Seen() uint64 { return r.serial }
 
 func (r *Records) add(f model.Fingerprint, c record) {
-	if slices.ContainsFunc(r.crashes[f], c.sameCrash) || r.size >= maxRecords || !c.at.After(r.answered[f]) {
+	if slices.ContainsFunc(r.crashes[f], c.sameCrash) || !c.at.After(r.answered[f]) {
 		return
 	}
+	if r.size >= maxRecords {
+		r.evict()
+	}
 	r.crashes[f] = append(r.crashes[f], c)
 	r.size++
 }
 
+// evict makes room for a record: it drops the content with the fewest crashes, of
+// several the one whose last crash is the oldest.
+func (r *Records) evict() {
+	var least model.Fingerprint
+	found := false
+	for f, crashes := range r.crashes {
+		of := r.crashes[least]
+		if !found || cmp.Or(cmp.Compare(len(crashes), len(of)), last(crashes).Compare(last(of))) < 0 {
+			least, found = f, true
+		}
+	}
+	r.keep(least, func(record) bool { return false })
+}
+
+// last is when the latest of some crashes was.
+func last(crashes []record) time.Time {
+	return slices.MaxFunc(crashes, func(a, b record) int { return a.at.Compare(b.at) }).at
+}
+
 // Answered takes in that a target has answered a content whole: it does not crash
 // those that run it. It reports whether crashes were recorded of it.
 func (r *Records) Answered(now time.Time, f model.Fingerprint) bool {
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -118,6 +118,23 @@
 	assert.Assert(t, !two.Answered(now, content+1))
 }
 
+// Once as many crashes were recorded as are kept, no further one counted.
+func TestCrashesCountWhenRecordsAreFull(t *testing.T) {
+	r := NewRecords(1, 2)
+	for i := range maxRecords + 10 {
+		r.Crashed(start.Add(time.Duration(i)*time.Millisecond), 0, content+1+model.Fingerprint(i), targetA)
+	}
+	now := start.Add(time.Minute)
+	r.Crashed(now, 0, content, targetA)
+	r.Crashed(now, 0, content, targetB)
+	for i := range maxRecords / 2 {
+		r.Crashed(now, 0, content-1-model.Fingerprint(i), targetA)
+	}
+	_, refused := r.Refused(now, content)
+	assert.Assert(t, refused)
+	assert.Assert(t, r.size <= maxRecords)
+}
+
 // BenchmarkRefused asks for contents of which nothing is known, as nearly all
 // requests do, beside as many records as are kept.
 func BenchmarkRefused(b *testing.B) {
