Crashes: hosts that were cut off from each other hand over all records

With some innocent contents recorded beside a crash the one that matters was left out, so that it could crash three more targets when that host led, or when the host that had seen its crashes was lost.

Both sides now hand over everything when a host turns to a leader; beyond 256 records those of the contents with the most crashes. TestCrashesAreKnownAcrossACut failed before, in both directions.

--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -117,7 +117,7 @@
 	return b.crashes.Answers(now)
 }
 
-// AllAnswers gives all of them, for a host that is new here.
+// AllAnswers gives all of them, for a host that may have missed some.
 func (b *Broker) AllAnswers(now time.Time) []member.Answer { return b.crashes.Answers(now) }
 
 // LearnAnswers takes in what another host knows of them.
@@ -136,8 +136,8 @@
 	return b.crashes.Own(now, after)
 }
 
-// AllCrashes gives what is recorded of contents, for a host that is new here.
-func (b *Broker) AllCrashes(now time.Time) []member.Crash { return b.crashes.Share(now) }
+// AllCrashes gives what is recorded of contents, for a host that may have missed some.
+func (b *Broker) AllCrashes(now time.Time) []member.Crash { return b.crashes.Handover(now) }
 
 // LearnCrashes takes in what another host has recorded.
 func (b *Broker) LearnCrashes(now time.Time, crashes []member.Crash) { b.crashes.Learn(now, crashes) }
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -19,6 +19,9 @@
 	Expiry     = 10 * time.Minute // after which a crash is forgotten
 	maxRecords = 4096
 	maxShared  = 16 // records in one message
+	// maxHandover is how many records a host hands to another that may have missed
+	// some; 10 KB.
+	maxHandover = 256
 	// onTheWay is by how much later a record may seem that came from another
 	// host: its age is as of sending, and messages take some time.
 	onTheWay = 300 * time.Millisecond
@@ -193,6 +196,16 @@
 	return append(all[r.next:], all[:r.next]...)[:maxShared]
 }
 
+// Handover returns what another host needs that may have missed some: all records,
+// or those of the contents with the most crashes.
+func (r *Records) Handover(now time.Time) []member.Crash {
+	all := r.collect(now, func(record) bool { return true })
+	slices.SortStableFunc(all, func(a, b member.Crash) int {
+		return cmp.Compare(len(r.crashes[b.Fingerprint]), len(r.crashes[a.Fingerprint]))
+	})
+	return all[:min(len(all), maxHandover)]
+}
+
 // Own returns the records that were made here after the one with a number.
 func (r *Records) Own(now time.Time, after uint64) []member.Crash {
 	return r.collect(now, func(c record) bool { return c.id.Seer == r.self && c.id.Serial > after })
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"yuccadoor/core/broker"
+	"yuccadoor/core/model"
 	"yuccadoor/core/roster"
 	"yuccadoor/core/routes"
 	"yuccadoor/io/logs"
@@ -21,6 +22,14 @@
 type wires struct {
 	mu    sync.Mutex
 	hosts map[netip.AddrPort]*Coord // guarded by mu
+	cut   map[netip.AddrPort]bool   // guarded by mu; hosts that reach no other
+}
+
+// setCut cuts a host off from the others, or heals that.
+func (w *wires) setCut(host netip.AddrPort, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[host] = on
 }
 
 // end is one host's side.
@@ -37,6 +46,9 @@
 	}
 	e.wires.mu.Lock()
 	c := e.wires.hosts[to]
+	if e.wires.cut[to] || e.wires.cut[e.self] {
+		c = nil
+	}
 	e.wires.mu.Unlock()
 	if c != nil {
 		c.Receive(e.self, method, text)
@@ -49,11 +61,11 @@
 
 // startHosts starts hosts before two targets of one service. Stopping one is as
 // if its process were killed.
-func startHosts(t *testing.T, n int) (hosts []*Coord, kill func(i int)) {
+func startHosts(t *testing.T, n int) (w *wires, hosts []*Coord, kill func(i int)) {
 	t.Helper()
 	log, err := logs.New(io.Discard, "error")
 	assert.NilError(t, err)
-	w := &wires{hosts: map[netip.AddrPort]*Coord{}}
+	w = &wires{hosts: map[netip.AddrPort]*Coord{}, cut: map[netip.AddrPort]bool{}}
 	var seeds []netip.AddrPort
 	for i := range n {
 		seeds = append(seeds, hostAt(i))
@@ -78,7 +90,7 @@
 			{ID: "t1", Service: "lm", Address: netip.MustParseAddrPort("127.0.0.9:2"), Slots: 4, Revision: 1},
 		}, nil)
 	}
-	return hosts, func(i int) {
+	return w, hosts, func(i int) {
 		w.mu.Lock()
 		delete(w.hosts, hostAt(i))
 		for _, c := range w.hosts {
@@ -119,6 +131,9 @@
 	}, poll.WithTimeout(10*time.Second))
 }
 
+// crashes is how many get a content refused.
+const crashes = 3
+
 // crash lets a request of a content crash its target, as its host sees it: the
 // answer breaks off, and the target takes no connections.
 func crash(t *testing.T, c *Coord, a broker.Ask) {
@@ -135,12 +150,12 @@
 // What was held against contents went with the leader, so that a content could
 // crash three more targets under each new one.
 func TestCrashesAreKnownToTheNextLeader(t *testing.T) {
-	hosts, kill := startHosts(t, 3)
+	_, hosts, kill := startHosts(t, 3)
 	for _, c := range hosts {
 		awaitLeader(t, c, hostAt(0))
 	}
 	const content = 77
-	for range 3 {
+	for range crashes {
 		crash(t, hosts[2], broker.Ask{Content: content})
 	}
 	_, v := ask(t, hosts[1], broker.Ask{Content: content})
@@ -153,3 +168,46 @@
 	assert.Assert(t, v.Target != "", "%v", v.Refusal)
 	hosts[2].Done(broker.Done{ID: id, Target: v.Target, Outcome: broker.Good, Took: time.Millisecond})
 }
+
+// What hosts had recorded while they were cut off from each other was handed on in
+// part or not at all.
+func TestCrashesAreKnownAcrossACut(t *testing.T) {
+	const content, many = 77, 40
+	for _, c := range []struct {
+		name      string
+		seer, ask int // hosts that see the crashes, and that must know of them
+	}{
+		{"to the host that was cut off", 2, 1},
+		{"from the host that was cut off", 1, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w, hosts, kill := startHosts(t, 3)
+			for _, h := range hosts {
+				awaitLeader(t, h, hostAt(0))
+			}
+			w.setCut(hostAt(1), true)
+			awaitLeader(t, hosts[1], hostAt(1))
+			for range crashes {
+				crash(t, hosts[c.seer], broker.Ask{Content: content})
+			}
+			for i := range many { // requests that ran beside other crashes
+				hosts[c.seer].Broke(broker.Break{
+					Content: model.Fingerprint(content + 1 + i), Target: "t0",
+					Address: netip.MustParseAddrPort("127.0.0.9:1"), At: time.Now(), Refused: true,
+				})
+			}
+			w.setCut(hostAt(1), false)
+			awaitLeader(t, hosts[1], hostAt(0))
+			next := hostAt(1)
+			if c.seer == 1 { // the one that saw them dies, after it has met the others
+				kill(1)
+				next = hostAt(0)
+			} else {
+				kill(0)
+			}
+			awaitLeader(t, hosts[c.ask], next)
+			_, v := ask(t, hosts[c.ask], broker.Ask{Content: content})
+			assert.Assert(t, v.Refusal != nil && v.Refusal.Cause == "CrashesTargets", "%v", v)
+		})
+	}
+}
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -149,19 +149,22 @@
 	} else {
 		c.mesh.Send(c.leader, methodSync, pack.Of(s))
 	}
+	c.handCrashes(now, c.leader)
 }
 
 func (c *Coord) takeSync(now time.Time, host netip.AddrPort, s Sync) {
 	c.asking[host] = true
 	c.broker.Sync(now, host, s.Running, s.Asks)
-	if m := c.allCrashes(now); !m.empty() && host != c.self() {
-		c.mesh.Send(host, methodCrashes, pack.Of(m))
-	}
+	c.handCrashes(now, host)
 }
 
-// allCrashes is all that this host has recorded of contents.
-func (c *Coord) allCrashes(now time.Time) Crashes {
-	return Crashes{c.broker.AllCrashes(now), c.broker.AllAnswers(now)}
+// handCrashes tells a host that this one was out of touch with what is recorded
+// here.
+func (c *Coord) handCrashes(now time.Time, host netip.AddrPort) {
+	m := Crashes{c.broker.AllCrashes(now), c.broker.AllAnswers(now)}
+	if !m.empty() && host != c.self() {
+		c.mesh.Send(host, methodCrashes, pack.Of(m))
+	}
 }
 
 func (c *Coord) takeCrashes(now time.Time, m Crashes) {
