Crashes: requests that wait are refused when their content's third crash is known

TestWaitingRequestOfCrashingContentIsRefused failed before, for a crash seen here and for one told by another host.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -116,8 +116,8 @@
 	}
 	w := &waiting{key: k, ask: a, aimAt: now.Add(a.Aim), endAt: now.Add(a.Left), cost: costOf(a)}
 	w.density = b.worthOf(a) / w.cost
-	if _, refused := b.crashes.Refused(now, a.Content); refused {
-		b.refuse(k, Refusal{ID: a.ID, After: crashRetry, Cause: "CrashesTargets"})
+	if b.isRefused(now, a.Content) {
+		b.refuseCrash(k)
 		return
 	}
 	if !a.Again {
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -437,6 +437,37 @@
 	assert.Equal(t, len(w.b.Answers(w.now)), 0)
 }
 
+// Requests that waited when their content's third crash became known were sent.
+func TestWaitingRequestOfCrashingContentIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		learned bool // from another host
+	}{{"seen here", false}, {"told by another host", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(1)
+			running := w.fill(2)
+			waits, other := w.ask(hostB, Ask{Content: 7}), w.ask(hostB, Ask{Content: 8})
+			seer := w.b
+			if c.learned {
+				seer = New(quota.Tolerance{}, 2)
+			}
+			for i := range crashLimit {
+				address := netip.AddrPortFrom(netip.MustParseAddr("10.1.0.9"), uint16(i))
+				seer.Broke(w.now, Break{Content: 7, Address: address, At: w.now, Refused: true})
+			}
+			if c.learned {
+				w.b.LearnCrashes(w.now, seer.Crashes(w.now))
+			}
+			w.done(hostA, running[0], Good, time.Millisecond)
+			w.done(hostA, running[1], Good, time.Millisecond)
+			r := w.refused(hostB, waits)
+			assert.Assert(t, r != nil && r.Cause == "CrashesTargets", "%v", r)
+			assert.Equal(t, w.granted(hostB, waits), "")
+			assert.Equal(t, w.granted(hostB, other), "t0")
+		})
+	}
+}
+
 // A target that was back before its connection was found broken takes connections
 // again; only its published start tells that it had ended.
 func TestCrashShowsInThePublishedStart(t *testing.T) {
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -80,6 +80,32 @@
 func (b *Broker) recordCrash(now time.Time, k Break) {
 	b.crashes.Crashed(k.At, k.Took, k.Content, k.Address)
 	b.note(now, CrashRecorded, k)
+	b.refuseCrashing(now)
+}
+
+// isRefused reports whether a content has crashed too many targets.
+func (b *Broker) isRefused(now time.Time, content model.Fingerprint) bool {
+	_, refused := b.crashes.Refused(now, content)
+	return refused
+}
+
+// refuseCrashing refuses the waiting requests whose content turns out to crash
+// targets.
+func (b *Broker) refuseCrashing(now time.Time) {
+	for service, q := range b.queues {
+		b.queues[service] = slices.DeleteFunc(q, func(w *waiting) bool {
+			refused := b.isRefused(now, w.ask.Content)
+			if refused {
+				b.giveBack(w)
+				b.refuseCrash(w.key)
+			}
+			return refused
+		})
+	}
+}
+
+func (b *Broker) refuseCrash(k key) {
+	b.refuse(k, Refusal{ID: k.id, After: crashRetry, Cause: "CrashesTargets"})
 }
 
 // settleBreaks decides on the breaks whose targets have started anew, or would
@@ -140,4 +166,7 @@
 func (b *Broker) AllCrashes(now time.Time) []member.Crash { return b.crashes.Handover(now) }
 
 // LearnCrashes takes in what another host has recorded.
-func (b *Broker) LearnCrashes(now time.Time, crashes []member.Crash) { b.crashes.Learn(now, crashes) }
+func (b *Broker) LearnCrashes(now time.Time, crashes []member.Crash) {
+	b.crashes.Learn(now, crashes)
+	b.refuseCrashing(now)
+}
