Soak: a request that crashes its servers, with a host killed meanwhile

A fault that is played alone sends one request of a random kind, with a body or without, five times a second for 8 s and kills a host meanwhile; the check has the platform's bound. TestChecksSeeSeededFaults/Crash shows that it sees more sends: servers that seem to go on.

--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -64,6 +64,7 @@
 	r.checkRate("the bounded workspace", bounded, stand.QuotaWindow,
 		(rate*stand.QuotaWindow.Seconds()+rate)*(1+stand.QuotaOver)+stand.QuotaSlack)
 	r.checkRepeats(runs)
+	r.checkCrashes()
 	for _, q := range r.requests {
 		r.report.Requests++
 		r.checkRequest(q, runs[q.id])
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -36,15 +36,32 @@
 	do   func(r *run, n int) (undo func())
 }
 
+// played reports whether a kind of fault may come in this run.
+func (r *run) played(name string) bool {
+	return len(r.settings.Only) == 0 || slices.Contains(r.settings.Only, name)
+}
+
 // kinds are the faults that may come at random in this run.
 func (r *run) kinds() []fault {
-	return slices.DeleteFunc(faultKinds(), func(k fault) bool {
-		return len(r.settings.Only) > 0 && !slices.Contains(r.settings.Only, k.name)
-	})
+	return slices.DeleteFunc(faultKinds(), func(k fault) bool { return !r.played(k.name) })
 }
 
-// alone is the name of the fault that is played without any other.
-const alone = "servers leave, alone"
+// leaving is the name of the fault of servers that leave while nothing else is
+// wrong.
+const leaving = "servers leave, alone"
+
+// playAlone plays a fault that must have no other beside it.
+func (r *run) playAlone() {
+	leaves, crashes := r.played(leaving), r.played(crashing)
+	if leaves == crashes {
+		crashes = r.random.IntN(2) == 0
+	}
+	if crashes {
+		r.crashAlone()
+		return
+	}
+	r.leaveAlone()
+}
 
 func faultKinds() []fault {
 	return []fault{
@@ -83,7 +100,7 @@
 	for n := 1; time.Now().Before(end) && ctx.Err() == nil; n++ {
 		if n%aloneShare == 0 || len(kinds) == 0 {
 			finish()
-			r.leaveAlone()
+			r.playAlone()
 			continue
 		}
 		k := kinds[r.random.IntN(len(kinds))]
@@ -235,7 +252,7 @@
 		left = slices.DeleteFunc(slices.Clone(r.servers), func(s *stand.Server) bool { return s.Zone != z })
 		undo = r.takeOut
 	}
-	r.note("%6.2f s %s: %d", time.Since(r.start).Seconds(), alone, len(left))
+	r.note("%6.2f s %s: %d", time.Since(r.start).Seconds(), leaving, len(left))
 	back := undo(n)
 	from := time.Now()
 	time.Sleep(leaveLength)
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -82,6 +82,7 @@
 	report   Report     // guarded by mu
 	calm     time.Time  // guarded by mu; when the last fault ended
 	marks    []mark     // guarded by mu
+	crashing []string   // guarded by mu; paths of the requests that crash servers
 }
 
 // request is one request of the load with what its caller got.
@@ -190,6 +191,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "start a server")
 	}
+	s.CrashOn(crashesServers(r.settings.Tamper))
 	s.Register(r.store)
 	r.servers = append(r.servers, s)
 	return s, stop, nil
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -32,10 +32,12 @@
 	for _, c := range []struct {
 		seed  uint64
 		found string
+		only  []string
 	}{
-		{1, "nothing"},
+		{1, "nothing", nil},
+		{4003, "a request without a body crashed servers 17 times", []string{crashing}},
 	} {
-		r, err := Play(context.Background(), Settings{Program: path, Hosts: 3, Seed: c.seed, Length: 6 * time.Second})
+		r, err := Play(context.Background(), Settings{Program: path, Hosts: 3, Seed: c.seed, Length: 6 * time.Second, Only: c.only})
 		assert.NilError(t, err)
 		assert.Equal(t, len(r.Findings), 0, "%v\n%v", r.Findings, r.Faults)
 		assert.Assert(t, r.Served > r.Requests/4, "%d of %d served", r.Served, r.Requests)
@@ -53,7 +55,8 @@
 		{"Twice", "settings reloaded", "times"},
 		{"Mixed", "settings reloaded", "got"},
 		{"Cold", "server turns cold", "cold server-"},
-		{"Left", alone, "after it had left"},
+		{"Left", leaving, "after it had left"},
+		{"Crash", crashing, "crashed servers"},
 		{"Quota", "settings reloaded", "the bounded workspace got"},
 	} {
 		t.Run(c.tamper, func(t *testing.T) {
