Relay: an endless answer to another request ends the call, not in a panic

An answer to another request that is longer than what is skipped (1 MB) counted as read whole: the call went on without an answer and ended in a nil pointer. net/http recovers that, but the leader never heard of the end, so that the target's place stayed taken.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -218,10 +218,14 @@
 			if reply.Close {
 				return errors.New("the answer is for another request")
 			}
-			if _, err := io.CopyN(io.Discard, reply.Body, foreignBytes); err != io.EOF {
+			switch _, err := io.CopyN(io.Discard, reply.Body, foreignBytes); err {
+			case io.EOF:
+				continue
+			case nil:
+				return errors.Errorf("an answer for another request has over %d bytes", foreignBytes)
+			default:
 				return errors.Wrap(err, "skip the answer for another request")
 			}
-			continue
 		}
 		a.reply = reply
 		a.Status, a.Header = reply.StatusCode, reply.Header
