Connections: the head of a target's answer is bounded

A target that sends a status line, header lines or any bytes without end was read until the request's time was over, all of it kept: a host's memory goes with the speed of its link, and the platform kills a host over its limit. Heads are read up to 64 KB now, for both kinds of host; beyond that the run has broken off.

The bounds of bodies and events were there.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -5,12 +5,14 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -27,6 +29,8 @@
 	// row of a packet that is sent again after 200, 400 and 800 ms.
 	unackedLife = 1500 * time.Millisecond
 	readBuffer  = 4096
+	// MaxHead bounds the bytes of the head of a target's answer.
+	MaxHead = 64 << 10
 )
 
 // Link is one connection to a target, used by one request at a time.
@@ -35,6 +39,7 @@
 	Reader *bufio.Reader
 	Reused bool // it has carried another request before
 
+	bound  *bound
 	idleAt time.Time     // when it became idle
 	life   time.Duration // how long it may be idle
 }
@@ -103,7 +108,34 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Link{Conn: conn, Reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+	b := &bound{conn: conn, left: math.MaxInt64}
+	return &Link{Conn: conn, Reader: bufio.NewReaderSize(b, readBuffer), bound: b}, nil
+}
+
+// Limit bounds the bytes that Reader takes from the connection from now on, those
+// that it has taken already left out. Reading beyond that fails with ErrTooLong.
+func (l *Link) Limit(bytes int64) { l.bound.left = bytes }
+
+// Unlimit lifts the bound.
+func (l *Link) Unlimit() { l.bound.left = math.MaxInt64 }
+
+// ErrTooLong is the end of reading at a bound.
+var ErrTooLong = errors.New("the target sends without end")
+
+// bound reads from a connection up to a number of bytes.
+type bound struct {
+	conn net.Conn
+	left int64
+}
+
+// Read implements io.Reader.
+func (b *bound) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := b.conn.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
 }
 
 func (p *Pool) take(to netip.AddrPort) *Link {
--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -213,6 +213,8 @@
 }
 
 func (a *attempt) readHead() (*http.Response, error) {
+	a.link.Limit(conns.MaxHead)
+	defer a.link.Unlimit()
 	for {
 		if err := a.await(); err != nil {
 			return nil, err
--- /dev/null
+++ b/io/relay/endless_test.go
@@ -0,0 +1,109 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var names = Names{Request: "X-Id", Stamp: "X-Stamp", NotRun: "X-Not-Run"}
+
+// endless is a target that sends a start and then a part again and again until
+// its caller closes.
+type endless struct {
+	start, part string
+
+	mu   sync.Mutex
+	sent int // guarded by mu; bytes that the caller has read
+}
+
+func (e *endless) dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
+			return
+		}
+		for text := e.start; ; text = e.part {
+			n, err := io.WriteString(far, text)
+			e.mu.Lock()
+			e.sent += n
+			e.mu.Unlock()
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return near, nil
+}
+
+func (e *endless) bytes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sent
+}
+
+// A target whose bytes never end took a host's memory until it was killed, and an
+// endless answer to another request made the call end in a panic.
+func TestBytesWithoutEnd(t *testing.T) {
+	const ok, own = "HTTP/1.1 200 OK\r\n", "X-Id: q\r\nX-Stamp: s\r\n"
+	for _, c := range []struct {
+		name        string
+		start, part string
+		most        int // bytes that may be read
+	}{
+		{"status line", "HTTP/1.1 200 ", "very ", 128 << 10},
+		{"header line", ok + "X-Long: ", "very ", 128 << 10},
+		{"header lines", ok, "X-More: 1\r\n", 128 << 10},
+		{"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n", 128 << 10},
+		{"no protocol at all", "", "rubbish ", 128 << 10},
+		{"body of an answer to another request", ok + "X-Id: other\r\n\r\n", "rubbish ", 2 << 20},
+		{"chunked body of an answer to another request", ok + "X-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n", 4 << 20},
+		{"body", ok + own + "\r\n", strings.Repeat("rubbish ", 512), 17 << 20},
+		{"chunked body", ok + own + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("rubbish ", 512) + "\r\n", 17 << 20},
+		{"chunk's extension", ok + own + "Transfer-Encoding: chunked\r\n\r\n8;", "more;", 128 << 10},
+		{"event", ok + own + "Content-Type: text/event-stream\r\n\r\n", "rubbish ", 2 << 20},
+		{"lines of an event", ok + own + "Content-Type: text/event-stream\r\n\r\n", "data: rubbish\n", 2 << 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := &endless{start: c.start, part: c.part}
+			s, cleanup := New(t.Context(), names, e.dial, time.Now)
+			defer cleanup()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			err := read(ctx, s)
+			assert.Assert(t, err != nil)
+			assert.NilError(t, ctx.Err())
+			assert.Assert(t, e.bytes() <= c.most, "%d bytes read", e.bytes())
+		})
+	}
+}
+
+// read makes one call and reads its answer to the end.
+func read(ctx context.Context, s *Sender) error {
+	a, failure := s.Send(ctx, &Call{Method: http.MethodGet, URI: "/", Host: "h", ID: "q", Header: http.Header{}})
+	if failure != nil {
+		return failure
+	}
+	defer a.Close()
+	if !a.Stream {
+		_, err := a.Whole()
+		return err
+	}
+	var e Event
+	for {
+		var err error
+		if e, err = a.Next(e.Raw); err != nil {
+			return err
+		}
+	}
+}
