Relay: all answers that are held at once share a bound

Each body that is held until it is whole was bounded to 16 MB, and any number of them at once: twelve bodies without end took 201 MB, over the memory of the smallest host. They share 32 MB now; the one that exceeds it has broken off, unless it has under 64 KB. TestBodiesWithoutEndAtOnce fails without the bound (201,376,080 bytes read of at most 36 MB).

--- a/io/relay/endless_test.go
+++ b/io/relay/endless_test.go
@@ -107,3 +107,28 @@
 		}
 	}
 }
+
+// Many bodies without end at once took a host's memory, though each had its bound.
+func TestBodiesWithoutEndAtOnce(t *testing.T) {
+	const calls, most = 12, 36 << 20
+	e := &endless{start: "HTTP/1.1 200 OK\r\nX-Id: q\r\n\r\n", part: strings.Repeat("rubbish ", 512)}
+	s, cleanup := New(t.Context(), names, e.dial, time.Now)
+	defer cleanup()
+	var reading sync.WaitGroup
+	var answers [calls]*Answer
+	for i := range calls {
+		a, failure := s.Send(t.Context(), &Call{Method: http.MethodGet, URI: "/", Host: "h", ID: "q", Header: http.Header{}})
+		assert.Assert(t, failure == nil)
+		answers[i] = a
+		reading.Go(func() {
+			_, err := a.Whole()
+			assert.Check(t, err != nil)
+		})
+	}
+	reading.Wait()
+	assert.Assert(t, e.bytes() <= most, "%d bytes read", e.bytes())
+	for _, a := range answers {
+		a.Close()
+	}
+	assert.Equal(t, s.held.Load(), int64(0))
+}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,10 +24,14 @@
 
 // Bounds on answers.
 const (
-	maxWhole     = 16 << 20 // bytes of an answer that is held until it is whole
-	maxEvent     = 1 << 20  // bytes of one event
-	maxForeign   = 8        // answers to other requests that are skipped
-	foreignBytes = 1 << 20  // of such an answer
+	maxWhole = 16 << 20 // bytes of an answer that is held until it is whole
+	// maxHeld bounds the bytes of all answers that are held at once, to a part of the
+	// memory of the smallest host, and alwaysHeld is what one may have beyond that.
+	maxHeld      = 32 << 20
+	alwaysHeld   = 64 << 10
+	maxEvent     = 1 << 20 // bytes of one event
+	maxForeign   = 8       // answers to other requests that are skipped
+	foreignBytes = 1 << 20 // of such an answer
 	// splitBody is the size from which a body is written beside the reading of
 	// the answer, since a target may answer before it has read a long body.
 	splitBody   = 8 << 10
@@ -79,6 +84,7 @@
 type Sender struct {
 	pool  *conns.Pool
 	names Names
+	held  atomic.Int64 // bytes of answers that are held
 }
 
 // sweepPeriod is the time between two looks for idle connections.
@@ -135,6 +141,7 @@
 	written chan error // of a body written aside; nil otherwise
 	stop    func() bool
 	events  *bufio.Reader
+	held    int64 // bytes of the body
 	whole   bool
 }
 
@@ -247,7 +254,7 @@
 
 // Whole reads the body to its announced end.
 func (a *Answer) Whole() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.reply.Body, maxWhole+1))
+	body, err := io.ReadAll(io.LimitReader(holder{a}, maxWhole+1))
 	if err != nil {
 		return nil, errors.Wrapf(err, "read answer of target %s", a.call.Target)
 	}
@@ -258,6 +265,20 @@
 	return body, nil
 }
 
+// holder reads the body of an answer that is held until it is whole.
+type holder struct{ answer *Answer }
+
+// Read implements io.Reader.
+func (h holder) Read(p []byte) (int, error) {
+	a := h.answer
+	n, err := a.reply.Body.Read(p)
+	a.held += int64(n)
+	if a.sender.held.Add(int64(n)) > maxHeld && a.held > alwaysHeld {
+		return n, errors.Errorf("over %d bytes of answers are held", maxHeld)
+	}
+	return n, err
+}
+
 // Event is one event of a stream.
 type Event struct {
 	ID  string // empty if it has none
@@ -303,6 +324,7 @@
 // Close ends the call. The connection is kept only if the answer was read to
 // its end, the request was written whole, and nothing else has arrived.
 func (a *Answer) Close() {
+	a.sender.held.Add(-a.held)
 	if !a.stop() || !a.whole || a.reply.Close || !a.writtenWhole() || a.link.Reader.Buffered() > 0 {
 		a.link.Conn.Close()
 		return
