Broker: the field's terms for ejection, backoff and rejected attempts

Names that needed explaining: aside, shed (of a target), comeMost, condemnAt. No change of behaviour.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -163,13 +163,13 @@
 	prompt := 0
 	if r.ask != nil {
 		prompt = r.ask.ask.Prompt
-		if d.Outcome == Shed || d.Outcome == NoConnect || d.Outcome == Unused {
+		if d.Outcome == Rejected || d.Outcome == NoConnect || d.Outcome == Unused {
 			b.giveBack(r.ask)
 		}
 	}
 	t.learn(now, host, d, prompt)
 	if t.published != nil {
-		b.setAside(now, t)
+		b.eject(now, t)
 	}
 	if d.Outcome == Good && r.ask != nil {
 		b.answeredWhole(now, r.ask.ask, r.target)
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -236,7 +236,7 @@
 	w.pass(50 * time.Millisecond)
 	assert.Assert(t, w.refused(hostA, second) == nil)
 	assert.Equal(t, w.granted(hostA, second), "")
-	w.pass(blockLeast)
+	w.pass(backoffLeast)
 	assert.Equal(t, w.granted(hostA, second), "t0")
 }
 
@@ -247,11 +247,11 @@
 	cut := w.ask(hostA, Ask{})
 	assert.Equal(t, w.granted(hostA, cut), "")
 	assert.Equal(t, w.granted(hostB, w.ask(hostB, Ask{})), "t0")
-	w.pass(blockLeast)
+	w.pass(backoffLeast)
 	assert.Equal(t, w.granted(hostA, cut), "t0")
 }
 
-func TestTargetThatTwoHostsCannotReachIsLeftAlone(t *testing.T) {
+func TestTargetThatTwoHostsCannotReachIsBackedOffFrom(t *testing.T) {
 	w := newWorld(2)
 	for _, host := range []netip.AddrPort{hostA, hostB} {
 		w.done(host, w.ask(host, Ask{Avoid: []string{"t1"}}), NoConnect, 0)
@@ -263,7 +263,7 @@
 
 // A target that fails at once always has free places and once got most of the
 // work.
-func TestTargetThatOnlyFailsIsSetAside(t *testing.T) {
+func TestTargetThatOnlyFailsIsEjected(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		bad  Done
@@ -294,7 +294,7 @@
 			}
 			assert.Assert(t, bad >= badInRow && bad < 10, "%d requests went there in four seconds", bad)
 			// It is tried again, and trusted once it answers.
-			w.pass(asideMost)
+			w.pass(ejectMost)
 			for range 4 {
 				id := w.ask(hostA, Ask{})
 				assert.Equal(t, w.granted(hostA, id), "t2")
@@ -304,8 +304,8 @@
 	}
 }
 
-// When all targets fail as often, setting some aside would only cost places.
-func TestFailuresOfAllSetNoneAside(t *testing.T) {
+// When all targets fail as often, ejecting some would only cost places.
+func TestFailuresOfAllEjectNone(t *testing.T) {
 	w := newWorld(4)
 	for i := range 200 {
 		o := Good
@@ -378,8 +378,8 @@
 	r := w.refused(hostA, over)
 	assert.Assert(t, r != nil && r.Quota)
 	assert.Equal(t, r.After, time.Second)
-	w.done(hostA, first, Shed, 0)
-	w.pass(shedPause)
+	w.done(hostA, first, Rejected, 0)
+	w.pass(rejectPause)
 	assert.Equal(t, w.granted(hostA, w.ask(hostA, ask)), "t0")
 }
 
@@ -601,7 +601,7 @@
 			for _, host := range out {
 				for tid, k := range w.b.targets {
 					p := w.roster.Snapshot().Usable(tid)
-					busy := p == nil || count[tid] >= 2 || k.bad >= badInRow || k.blockedFor(w.now, host) > 0 || w.now.Before(k.shedUntil) || k.cold(w.now)
+					busy := p == nil || count[tid] >= 2 || k.bad >= badInRow || k.blockedFor(w.now, host) > 0 || w.now.Before(k.rejectedUntil) || k.cold(w.now)
 					assert.Assert(t, busy, "a request waits while %s is free", tid)
 				}
 			}
@@ -620,7 +620,7 @@
 			"done": func(t *rapid.T) {
 				for id, h := range runs {
 					delete(runs, id)
-					o := rapid.SampledFrom([]Outcome{Good, Failed, Shed, Broken, NoConnect, Unused, Cancelled}).Draw(t, "outcome")
+					o := rapid.SampledFrom([]Outcome{Good, Failed, Rejected, Broken, NoConnect, Unused, Cancelled}).Draw(t, "outcome")
 					w.done(h, id, o, time.Duration(rapid.IntRange(1, 900).Draw(t, "took"))*time.Millisecond)
 					return
 				}
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -18,8 +18,8 @@
 	// republish is within which a target that has started anew is published as
 	// such: two of its beats.
 	republish = 2500 * time.Millisecond
-	// crashRetry is when callers of a refused content are asked to come back.
-	crashRetry = comeMost
+	// crashRetry is what Retry-After says for a refused content.
+	crashRetry = retryAfterMost
 )
 
 // Break is a run that ended without its answer: its target may have ended under
--- a/core/broker/message.go
+++ b/core/broker/message.go
@@ -47,7 +47,7 @@
 const (
 	Good      Outcome = "Good"      // answered whole
 	Failed    Outcome = "Failed"    // the target answered with an error of its own
-	Shed      Outcome = "Shed"      // the target did not run it
+	Rejected  Outcome = "Rejected"  // the target did not run it
 	Broken    Outcome = "Broken"    // the connection broke, or the answer was none
 	NoConnect Outcome = "NoConnect" // no connection was made
 	Unused    Outcome = "Unused"    // nothing was sent
--- a/core/broker/shed.go
+++ b/core/broker/shed.go
@@ -7,10 +7,9 @@
 
 // Bounds of what waits.
 const (
-	// comeLeast and comeMost bound the time after which a refused caller is
-	// asked to come back.
-	comeLeast = 200 * time.Millisecond
-	comeMost  = 3 * time.Second
+	// retryAfterLeast and retryAfterMost bound what Retry-After says.
+	retryAfterLeast = 200 * time.Millisecond
+	retryAfterMost  = 3 * time.Second
 	// patience is the part of a request's time after which it is refused when
 	// its turn is not in sight: the caller still has time for another try.
 	patience = 0.7
@@ -36,7 +35,7 @@
 		}
 		if left <= 0 || float64(turn) > patience*float64(left) {
 			b.giveBack(w)
-			b.refuse(w.key, Refusal{ID: w.ask.ID, After: comeBack(turn), Turn: turn, Cause: cause(left, away)})
+			b.refuse(w.key, Refusal{ID: w.ask.ID, After: retryAfter(turn), Turn: turn, Cause: cause(left, away)})
 			continue
 		}
 		ahead += w.cost
@@ -56,8 +55,8 @@
 	return "Overload"
 }
 
-func comeBack(turn time.Duration) time.Duration {
-	return min(max(turn, comeLeast), comeMost)
+func retryAfter(turn time.Duration) time.Duration {
+	return min(max(turn, retryAfterLeast), retryAfterMost)
 }
 
 // pace is how many units of work a service does in a second.
@@ -72,9 +71,9 @@
 }
 
 // away is how long it takes until some target of the service can be tried again
-// for a request; 0 when one can be now, comeMost when there is none.
+// for a request; 0 when one can be now, retryAfterMost when there is none.
 func (b *Broker) away(now time.Time, service string, w *waiting) time.Duration {
-	least := comeMost
+	least := retryAfterMost
 	for _, p := range b.roster.Of(service) {
 		if t := b.targets[p.ID]; t != nil && !slices.Contains(w.ask.Avoid, p.ID) {
 			if least = min(least, t.blockedFor(now, w.host)); least == 0 {
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -20,27 +20,27 @@
 	// firstRate is the time for one output token that is assumed of a target of
 	// which nothing is known yet.
 	firstRate = 5 * time.Millisecond
-	// blockLeast and blockMost bound how long a target that could not be
-	// connected is left alone; the time doubles with each failure in a row.
-	blockLeast = 250 * time.Millisecond
-	blockMost  = 2 * time.Second
-	// badInRow is how many failed answers in a row set a target aside: one in
+	// backoffLeast and backoffMost bound the backoff from a target that could not
+	// be connected; it doubles with each failure in a row.
+	backoffLeast = 250 * time.Millisecond
+	backoffMost  = 2 * time.Second
+	// badInRow is how many failed answers in a row eject a target: one in
 	// twenty failing by chance does that once in some thousand answers.
 	badInRow = 3
-	// asideLeast and asideMost bound for how long; it doubles with each trial that
+	// ejectLeast and ejectMost bound for how long; it doubles with each trial that
 	// fails.
-	asideLeast = 500 * time.Millisecond
-	asideMost  = 4 * time.Second
-	// mostAside is the part of a service's targets that may be set aside at once,
+	ejectLeast = 500 * time.Millisecond
+	ejectMost  = 4 * time.Second
+	// mostEjected is the part of a service's targets that may be ejected at once,
 	// and commonFailing the mean share of failures above which none is.
-	mostAside     = 0.34
+	mostEjected   = 0.34
 	commonFailing = 0.3
 	// silentAfter is after how long a request that was given up without any part
 	// of an answer counts as failed.
 	silentAfter = time.Second
-	// shedPause is how long a target that turned a request away gets no more
+	// rejectPause is how long a target that turned a request away gets no more
 	// than it runs.
-	shedPause = 200 * time.Millisecond
+	rejectPause = 200 * time.Millisecond
 	// remoteFactor is how much slower a target in another zone counts.
 	remoteFactor = 1.4
 	// errorFactor weighs the share of failed answers against speed.
@@ -55,12 +55,12 @@
 	plain     time.Duration // for a whole answer of a plain service
 	failing   float64       // share of failed answers, in 0 to 1
 	// unreached holds the hosts that could not connect lately.
-	unreached map[netip.AddrPort]unreached
-	shedUntil time.Time
-	bad       int       // failed answers in a row
-	aside     time.Time // until then it is set aside for failing
-	coldUntil time.Time // as it told with an answer
-	nextCold  time.Time // when a cold target may get its next request
+	unreached     map[netip.AddrPort]unreached
+	rejectedUntil time.Time
+	bad           int       // failed answers in a row
+	ejectedUntil  time.Time // for failing
+	coldUntil     time.Time // as it told with an answer
+	nextCold      time.Time // when a cold target may get its next request
 }
 
 // unreached is a host's failure to connect to a target.
@@ -69,8 +69,8 @@
 	until    time.Time
 }
 
-// hostsAgree is how many hosts must fail to connect before the target is left
-// alone by all: one host may be cut off from it.
+// hostsAgree is how many hosts must fail to connect before all back off from
+// the target: one host may be cut off from it.
 const hostsAgree = 2
 
 func newTarget(now time.Time) *target {
@@ -83,12 +83,12 @@
 	return t.published.Cold(now) || now.Before(t.coldUntil)
 }
 
-// blockedFor is how long a host should leave the target alone.
+// blockedFor is how long a host backs off from the target.
 func (t *target) blockedFor(now time.Time, host netip.AddrPort) time.Duration {
 	return max(t.unreached[host].until.Sub(now), t.blocked(now), 0)
 }
 
-// blocked is how long all hosts should leave the target alone.
+// blocked is how long all hosts back off from the target.
 func (t *target) blocked(now time.Time) time.Duration {
 	var waits []time.Duration
 	for _, u := range t.unreached {
@@ -120,13 +120,13 @@
 }
 
 func (t *target) hasRoom(now time.Time, b *Broker) bool {
-	if t.bad >= badInRow && (now.Before(t.aside) || t.running > 0) {
-		return false // set aside, or on trial with one request
+	if t.bad >= badInRow && (now.Before(t.ejectedUntil) || t.running > 0) {
+		return false // ejected, or on trial with one request
 	}
 	if t.running >= t.slots(b) || t.blocked(now) > 0 {
 		return false
 	}
-	if now.Before(t.shedUntil) && t.running > 0 {
+	if now.Before(t.rejectedUntil) && t.running > 0 {
 		return false
 	}
 	return !t.cold(now) || !now.Before(t.nextCold)
@@ -167,11 +167,11 @@
 	case Failed:
 		t.bad++
 		t.failing += rateWeight * (1 - t.failing)
-	case Shed:
-		t.shedUntil = now.Add(shedPause)
+	case Rejected:
+		t.rejectedUntil = now.Add(rejectPause)
 	case Broken:
 		// A server that is gone shows at the next connection; answers that are
-		// lost on the way are no reason to leave a sound one alone.
+		// lost on the way are no reason to back off from a sound one.
 		t.bad++
 		t.failing += rateWeight * (1 - t.failing)
 	}
@@ -179,34 +179,34 @@
 
 func (t *target) block(now time.Time, host netip.AddrPort) {
 	u := t.unreached[host]
-	u.until = now.Add(min(blockLeast<<min(u.failures, 8), blockMost))
+	u.until = now.Add(min(backoffLeast<<min(u.failures, 8), backoffMost))
 	u.failures++
 	t.unreached[host] = u
 }
 
-// setAside leaves a target alone that only fails, for longer each time it fails
+// eject gives a target that only fails no work for a while, longer each time it fails
 // its trial. A target that fails at once has free places always, and would get
-// most of the work. When many fail, or many are set aside, none is: then it is
+// most of the work. When many fail, or many are ejected, none is: then it is
 // no matter of the target.
-func (b *Broker) setAside(now time.Time, t *target) {
+func (b *Broker) eject(now time.Time, t *target) {
 	if t.bad < badInRow {
 		return
 	}
-	others, aside, failing := 0, 0, 0.0
+	others, ejected, failing := 0, 0, 0.0
 	for _, p := range b.roster.Of(t.published.Service) {
 		if o := b.targets[p.ID]; o != nil && o != t {
 			others++
 			failing += o.failing
 			if o.bad >= badInRow {
-				aside++
+				ejected++
 			}
 		}
 	}
-	if others == 0 || failing/float64(others) > commonFailing || float64(aside+1) > mostAside*float64(others+1) {
+	if others == 0 || failing/float64(others) > commonFailing || float64(ejected+1) > mostEjected*float64(others+1) {
 		t.bad = badInRow - 1
 		return
 	}
-	t.aside = now.Add(min(asideLeast<<min(t.bad-badInRow, 8), asideMost))
+	t.ejectedUntil = now.Add(min(ejectLeast<<min(t.bad-badInRow, 8), ejectMost))
 }
 
 func (t *target) observe(d Done, prompt int) {
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -44,11 +44,11 @@
 
 // The kinds of event.
 const (
-	Began Kind = "Began" // its first token was made
-	Ended Kind = "Ended"
-	Shed  Kind = "Shed" // turned away, not run
-	Lost  Kind = "Lost" // the engine crashed
-	Down  Kind = "Down" // it takes no connections
+	Began    Kind = "Began" // its first token was made
+	Ended    Kind = "Ended"
+	Rejected Kind = "Rejected" // turned away, not run
+	Lost     Kind = "Lost"     // the engine crashed
+	Down     Kind = "Down"     // it takes no connections
 )
 
 // Event is something that happened to a job.
@@ -157,7 +157,7 @@
 		return
 	}
 	if len(e.queue) >= e.profile.Queue && len(e.runs) >= e.profile.Slots {
-		e.events = append(e.events, Event{now, j.ID, Shed})
+		e.events = append(e.events, Event{now, j.ID, Rejected})
 		return
 	}
 	e.queue = append(e.queue, &run{Job: j, unread: j.Prompt, unmade: max(j.Output, 1)})
--- a/core/engine/engine_test.go
+++ b/core/engine/engine_test.go
@@ -54,7 +54,7 @@
 		switch ev.Kind {
 		case Began:
 			began = append(began, ev.Job)
-		case Shed:
+		case Rejected:
 			shed++
 		}
 	}
--- a/core/replay/replay.go
+++ b/core/replay/replay.go
@@ -190,8 +190,8 @@
 		if !q.began.After(q.aimAt) {
 			q.outcome = inTime
 		}
-	case engine.Shed:
-		p.end(now, q, broker.Shed)
+	case engine.Rejected:
+		p.end(now, q, broker.Rejected)
 	case engine.Lost:
 		p.end(now, q, broker.Broken)
 	case engine.Down:
@@ -205,7 +205,7 @@
 	p.policy.done(now, q, o)
 	delete(p.byTry, q.attempt)
 	avoid := q.target
-	ran := o != broker.Shed && o != broker.NoConnect
+	ran := o != broker.Rejected && o != broker.NoConnect
 	if ran {
 		p.wasted[q.class.Name] += q.job.Prompt
 		q.runs++
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -103,7 +103,7 @@
 func (c *call) passWhole(ctx context.Context, a *relay.Answer) result {
 	body, err := a.Whole()
 	if a.NotRun {
-		return result{outcome: broker.Shed, status: a.Status, err: err}
+		return result{outcome: broker.Rejected, status: a.Status, err: err}
 	}
 	r := result{mayHaveRun: true, status: a.Status, header: a.Header, body: body, err: err}
 	switch {
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -28,7 +28,7 @@
 	tickPeriod = 10 * time.Millisecond
 	viewPeriod = 100 * time.Millisecond // between looks at who is alive
 	eventRing  = 8192
-	condemnAt  = 2 // crashes before a content is refused
+	crashLimit = 2 // crashes before a content is refused
 	// pauseLength is the gap between two ticks that counts as a pause.
 	pauseLength = 500 * time.Millisecond
 )
@@ -118,7 +118,7 @@
 		manager:  permit.NewManager(s.Incarnation),
 		members:  member.New(s.Self, s.Seed),
 		keys:     once.NewTable(s.Self, s.Incarnation),
-		crashes:  crash.NewRecords(uint64(s.Incarnation), condemnAt),
+		crashes:  crash.NewRecords(uint64(s.Incarnation), crashLimit),
 		verdicts: map[model.RequestID]chan Verdict{},
 		list:     &model.HostList{},
 	}
