--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -187,7 +187,7 @@
 		ID: fmt.Sprint("server-", n), Service: []string{"plain", "engine"}[n%2], Zone: zone(n / 2), Slots: 4,
 		Events: 10, Pause: 4 * time.Millisecond, Work: 5 * time.Millisecond, Tamper: r.settings.Tamper,
 	}
-	_, stop, err := stand.NewServer(netip.MustParseAddr("127.0.0.1"), s)
+	_, stop, err := stand.NewServer(r.hostAddress(serverPlace), s)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "start a server")
 	}
@@ -208,6 +208,10 @@
 	portStore  // the proxy before the store
 )
 
+// serverPlace is the place of the servers' address, beyond those of hosts: no port
+// of a server that is down for a while is taken by anything else.
+const serverPlace = 200
+
 // runs counts the runs of this process.
 var runs atomic.Uint32
 
