Crashes: a content that has crashed a target runs no more than it may crash

Copies of a request that came at once, and its own next attempt, were sent before the crashes under way were known: 4 crashes for a GET, 6 with silent connections, where 3 is what a content may have. With one crash recorded, a content now runs at most as often at once as crashes are left; runs that broke off count until their hosts have examined them. What waits for that is sent when a run ends, or refused with the third crash.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -52,6 +52,7 @@
 	toldCrashes uint64
 	cleared     bool    // a content has been answered since Answers was last asked for
 	breaks      []Break // that may be crashes
+	unsettled   []unsettled
 	notes       []CrashNote
 
 	grants   map[netip.AddrPort][]Grant
@@ -171,8 +172,11 @@
 	if t.published != nil {
 		b.eject(now, t)
 	}
-	if d.Outcome == Good && r.ask != nil {
-		b.answeredWhole(now, r.ask.ask, r.target)
+	if r.ask != nil {
+		b.unsettle(now, d, r.ask.ask.Content)
+		if d.Outcome == Good {
+			b.answeredWhole(now, r.ask.ask, r.target)
+		}
 	}
 	if d.Outcome == Good && d.First > 0 && t.published != nil {
 		b.learnFirst(t, d.First, prompt)
@@ -218,6 +222,7 @@
 // Tick does what is due by time: it refuses what cannot be served any more.
 func (b *Broker) Tick(now time.Time) {
 	b.settleBreaks(now)
+	b.settleEnds(now)
 	for service := range b.queues {
 		b.shed(now, service)
 		b.match(now, service)
@@ -276,7 +281,10 @@
 func (b *Broker) assign(now time.Time, q []*waiting, free []*target, allowed func(time.Time, *waiting, *target) bool) ([]*waiting, []*target) {
 	kept := q[:0]
 	for _, w := range q {
-		t := b.pick(now, w, free, allowed)
+		var t *target
+		if b.mayRun(now, w.ask.Content) {
+			t = b.pick(now, w, free, allowed)
+		}
 		if t == nil {
 			kept = append(kept, w)
 			continue
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -18,6 +18,9 @@
 	// republish is within which a target that has started anew is published as
 	// such: two of its beats.
 	republish = 2500 * time.Millisecond
+	// examination is within which a break that was a crash is known here: a host's
+	// try to connect to the target, and the way back.
+	examination = 300 * time.Millisecond
 	// crashRetry is what Retry-After says for a refused content.
 	crashRetry = retryAfterMost
 )
@@ -77,9 +80,55 @@
 	b.settleBreaks(now)
 }
 
+// unsettled is a run that ended without its answer a moment ago.
+type unsettled struct {
+	content model.Fingerprint
+	until   time.Time // when it would be known to be a crash
+}
+
+// unsettle notes the end of a run that may turn out to be a crash.
+func (b *Broker) unsettle(now time.Time, d Done, content model.Fingerprint) {
+	if d.Outcome == Broken || d.Outcome == Cancelled {
+		b.unsettled = append(b.unsettled, unsettled{content, now.Add(examination)})
+	}
+}
+
+// settled drops one such end of a content, whose crash is known now.
+func (b *Broker) settled(content model.Fingerprint) {
+	if i := slices.IndexFunc(b.unsettled, func(u unsettled) bool { return u.content == content }); i >= 0 {
+		b.unsettled = slices.Delete(b.unsettled, i, i+1)
+	}
+}
+
+// mayRun reports whether one more run of a content can be borne: one that has
+// crashed targets runs at most as often at once as it may crash further ones.
+func (b *Broker) mayRun(now time.Time, content model.Fingerprint) bool {
+	crashes := b.crashes.Count(now, content)
+	if crashes == 0 {
+		return true
+	}
+	for _, r := range b.runs {
+		if r.ask != nil && r.ask.ask.Content == content {
+			crashes++
+		}
+	}
+	for _, u := range b.unsettled {
+		if u.content == content {
+			crashes++
+		}
+	}
+	return crashes < crashLimit
+}
+
+// settleEnds drops the ends of runs that would be known to be crashes by now.
+func (b *Broker) settleEnds(now time.Time) {
+	b.unsettled = slices.DeleteFunc(b.unsettled, func(u unsettled) bool { return !now.Before(u.until) })
+}
+
 func (b *Broker) recordCrash(now time.Time, k Break) {
 	b.crashes.Crashed(k.At, k.Took, k.Content, k.Address)
 	b.note(now, CrashRecorded, k)
+	b.settled(k.Content)
 	b.refuseCrashing(now)
 }
 
@@ -168,5 +217,8 @@
 // LearnCrashes takes in what another host has recorded.
 func (b *Broker) LearnCrashes(now time.Time, crashes []member.Crash) {
 	b.crashes.Learn(now, crashes)
+	for _, c := range crashes {
+		b.settled(c.Fingerprint)
+	}
 	b.refuseCrashing(now)
 }
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -164,6 +164,9 @@
 }
 
 func (r *Records) expireOf(now time.Time, f model.Fingerprint) {
+	if len(r.crashes[f]) == 0 {
+		return
+	}
 	r.keep(f, func(c record) bool { return now.Sub(c.at) < Expiry })
 }
 
