Allowances: a new leader charges what hosts' callers have used

Each new leader started with full buckets.

Every host keeps what its callers have used in the last window, by half seconds, and hands it to a leader that has not charged it. The leader lowers its bucket to what it would hold, had it served that usage, and not below empty. TestAllowanceHoldsAcrossLeaders and io/coord TestAllowanceIsNotServedAgainByTheNextLeader failed before.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -82,6 +82,9 @@
 	b.quota.Adopt(now, b.config.Workspaces)
 }
 
+// Charge takes what a host's callers have used of allowances under other leaders.
+func (b *Broker) Charge(now time.Time, used []quota.Used) { b.quota.Charge(now, used) }
+
 // SetShare tells which part of the fleet is reached from here. What is bounded
 // over all hosts is used only to this part.
 func (b *Broker) SetShare(alive, known int) {
--- a/core/hosts/hosts.go
+++ b/core/hosts/hosts.go
@@ -251,6 +251,17 @@
 	h.self.Unread = failing
 }
 
+// Incarnation tells the process that runs at a host's address; 0 if unknown.
+func (h *Hosts) Incarnation(a netip.AddrPort) uint64 {
+	if a == h.self.Address {
+		return h.self.Incarnation
+	}
+	if m := h.members[a]; m != nil {
+		return m.beat.Incarnation
+	}
+	return 0
+}
+
 // Zone gives the availability zone of a host; empty when unknown.
 func (h *Hosts) Zone(a netip.AddrPort) string {
 	if m := h.members[a]; m != nil {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -47,6 +47,7 @@
 	// wanted is the largest request refused since the last that passed: a part too
 	// small for it saves up to so much.
 	wanted float64
+	former former
 }
 
 // New returns buckets that hold the whole allowance.
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -128,3 +128,74 @@
 		}
 	})
 }
+
+// Each new leader started with full buckets, so that a workspace got its burst
+// once more.
+func TestAllowanceHoldsAcrossLeaders(t *testing.T) {
+	const hosts, rate, burst, size = 10, 1000.0, 2000.0, 100.0
+	tolerance := Tolerance{Overshoot: 0.25, Slack: 500, Window: 8 * time.Second}
+	for _, c := range []struct {
+		name  string
+		every time.Duration // between leaders
+		skew  int           // of the requests, one in so many comes to any host, the others to one
+	}{
+		{"each second", time.Second, 1},
+		{"each 2 s", 2 * time.Second, 1},
+		{"each 5 s", 5 * time.Second, 1},
+		{"each 5 s, most at one host", 5 * time.Second, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var usages [hosts]*Usage
+			for i := range usages {
+				usages[i] = NewUsage(start, tolerance.Window)
+			}
+			var leader *Buckets
+			var sent []time.Duration
+			const step, length = 5 * time.Millisecond, 30 * time.Second
+			for past, n := time.Duration(0), 0; past < length; past, n = past+step, n+1 {
+				now := start.Add(past)
+				if past%c.every == 0 {
+					leader = New(tolerance)
+					leader.Adopt(start, workspaces(rate, burst))
+					for _, u := range usages {
+						leader.Charge(now, u.Used(now))
+					}
+				}
+				if _, ok := leader.Take(now, "w", size); ok {
+					host := 0
+					if n%c.skew == 0 {
+						host = n / c.skew % hosts
+					}
+					usages[host].Add(now, "w", size)
+					sent = append(sent, past)
+				}
+			}
+			most := (rate*tolerance.Window.Seconds()+burst)*(1+tolerance.Overshoot) + tolerance.Slack
+			first := 0
+			for i, at := range sent {
+				for at-sent[first] >= tolerance.Window {
+					first++
+				}
+				n := float64(i-first+1) * size
+				assert.Assert(t, n <= most, "%v within %s up to %s, of at most %v", n, tolerance.Window, at, most)
+			}
+			assert.Assert(t, float64(len(sent))*size >= rate*length.Seconds(), "%d requests only", len(sent))
+		})
+	}
+}
+
+// A workspace that stays below its allowance is not refused by a new leader,
+// however its requests are spread over the hosts.
+func TestNewLeaderRefusesNothingWithinTheAllowance(t *testing.T) {
+	const rate, burst, size = 1000.0, 2000.0, 100.0
+	u := NewUsage(start, 8*time.Second)
+	for past := time.Duration(0); past < 30*time.Second; past += 200 * time.Millisecond {
+		u.Add(start.Add(past), "w", size) // half of the rate
+	}
+	now := start.Add(30 * time.Second)
+	b := New(Tolerance{Window: 8 * time.Second})
+	b.Adopt(start, workspaces(rate, burst))
+	b.Charge(now, u.Used(now))
+	_, ok := b.Take(now, "w", burst-2*size)
+	assert.Assert(t, ok)
+}
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -100,6 +100,8 @@
 	broker  *broker.Broker
 	leader  netip.AddrPort   // that this host asks; invalid while none is known
 	synced  bool             // the leader has this host's state
+	usage   *quota.Usage     // of this host's callers
+	charged process          // the leader that has charged it
 	spread  *spread.Spreader // nil unless this host chooses on its own
 	pending map[uint64]*pending
 	running map[uint64]string // targets of granted requests
@@ -121,6 +123,12 @@
 	stopping  bool
 }
 
+// process is one run of a host.
+type process struct {
+	address     netip.AddrPort
+	incarnation uint64
+}
+
 // New starts the deciding goroutine and returns it with its clean-up function.
 // Attach gives it the mesh.
 func New(ctx context.Context, s Settings) (*Coord, func()) {
@@ -132,6 +140,7 @@
 		settings: s, calls: ring.NewCalls(eventRing), known: make(chan struct{}),
 		hosts:  hosts.New(now, self, s.Seeds, s.Incarnation),
 		roster: roster.New(), broker: broker.New(s.Tolerance, s.Incarnation),
+		usage:   quota.NewUsage(now, s.Tolerance.Window),
 		pending: map[uint64]*pending{}, running: map[uint64]string{},
 		behind: map[netip.AddrPort]time.Time{},
 		asking: map[netip.AddrPort]bool{}, nextID: rand.Uint64() >> 16,
@@ -243,6 +252,7 @@
 	c.post(func(now time.Time) {
 		c.hosts.SetSeeds(seeds)
 		c.broker.SetTolerance(now, t)
+		c.usage.SetWindow(t.Window)
 	})
 }
 
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -13,6 +13,7 @@
 
 	"yuccadoor/core/broker"
 	"yuccadoor/core/model"
+	"yuccadoor/core/quota"
 	"yuccadoor/core/roster"
 	"yuccadoor/core/routes"
 	"yuccadoor/io/logs"
@@ -74,7 +75,8 @@
 	for i := range n {
 		c, stop := New(t.Context(), Settings{
 			Self: hostAt(i), Zone: "a", Incarnation: uint64(i + 1), Power: 100 - i, Seeds: seeds, Log: log, Now: time.Now,
-			Awake: func() time.Duration { return 0 },
+			Tolerance: quota.Tolerance{Window: 8 * time.Second},
+			Awake:     func() time.Duration { return 0 },
 		})
 		t.Cleanup(stop)
 		hosts, stops = append(hosts, c), append(stops, stop)
@@ -84,7 +86,9 @@
 	}
 	for i, c := range hosts {
 		assert.NilError(t, c.Attach(t.Context(), end{w, hostAt(i)}))
-		c.FeedConfig(&routes.Config{Version: 1, Services: []routes.Service{{Name: "lm", Engine: true, Slots: 4}}})
+		c.FeedConfig(&routes.Config{Version: 1, Services: []routes.Service{{Name: "lm", Engine: true, Slots: 4}}, Workspaces: []routes.Workspace{
+			{Name: "bounded", Allowance: routes.Allowance{PerSecond: 1, Burst: 100, InTokens: true}},
+		}})
 		c.FeedListing(1, []roster.Target{
 			{ID: "t0", Service: "lm", Address: netip.MustParseAddrPort("127.0.0.9:1"), Slots: 4, Revision: 1},
 			{ID: "t1", Service: "lm", Address: netip.MustParseAddrPort("127.0.0.9:2"), Slots: 4, Revision: 1},
@@ -211,3 +215,20 @@
 		})
 	}
 }
+
+// The burst of a workspace was served once more under each new leader.
+func TestAllowanceIsNotServedAgainByTheNextLeader(t *testing.T) {
+	_, hosts, kill := startHosts(t, 3)
+	for _, h := range hosts {
+		awaitLeader(t, h, hostAt(0))
+	}
+	id, v := ask(t, hosts[2], broker.Ask{Workspace: "bounded", Tokens: 90})
+	assert.Assert(t, v.Target != "", "%v", v.Refusal)
+	hosts[2].Done(broker.Done{ID: id, Target: v.Target, Outcome: broker.Good, Took: time.Millisecond})
+	kill(0)
+	awaitLeader(t, hosts[2], hostAt(1))
+	_, v = ask(t, hosts[2], broker.Ask{Workspace: "bounded", Tokens: 90})
+	assert.Assert(t, v.Refusal != nil && v.Refusal.Quota, "%v", v)
+	_, v = ask(t, hosts[2], broker.Ask{Workspace: "other", Tokens: 90})
+	assert.Assert(t, v.Target != "", "%v", v.Refusal)
+}
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -7,6 +7,7 @@
 
 	"yuccadoor/core/broker"
 	"yuccadoor/core/member"
+	"yuccadoor/core/quota"
 	"yuccadoor/io/pack"
 )
 
@@ -23,6 +24,9 @@
 type Sync struct {
 	Running []broker.Running `cbor:"1,keyasint,omitempty"`
 	Asks    []broker.Ask     `cbor:"2,keyasint,omitempty"`
+	// Used is what the host's callers have used of allowances, unless this leader
+	// has granted or charged it.
+	Used []quota.Used `cbor:"3,keyasint,omitempty"`
 }
 
 // Verdicts are a leader's decisions on a host's requests.
@@ -136,7 +140,13 @@
 }
 
 func (c *Coord) sendSync(now time.Time) {
+	leader := process{c.leader, c.hosts.Incarnation(c.leader)}
+	known := leader == c.charged
+	c.charged = leader
 	var s Sync
+	if !known {
+		s.Used = c.usage.Used(now)
+	}
 	for id, target := range c.running {
 		s.Running = append(s.Running, broker.Running{ID: id, Target: target})
 	}
@@ -154,6 +164,7 @@
 
 func (c *Coord) takeSync(now time.Time, host netip.AddrPort, s Sync) {
 	c.asking[host] = true
+	c.broker.Charge(now, s.Used)
 	c.broker.Sync(now, host, s.Running, s.Asks)
 	c.handCrashes(now, host)
 }
@@ -229,6 +240,9 @@
 		}
 		delete(c.pending, g.ID)
 		c.running[g.ID] = g.Target
+		if !p.ask.Again && p.ask.Tokens > 0 {
+			c.usage.Add(c.settings.Now(), p.ask.Workspace, p.ask.Tokens)
+		}
 		p.verdict <- Verdict{Target: g.Target}
 	}
 	for _, r := range v.Refusals {
