Allowances: requests of a lost leader are charged by the next

Only the process that charged a request counts as having charged it. TestRequestsOfALostLeaderAreChargedByTheNext failed before: 4 granted of an allowance for two.

--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -232,3 +232,33 @@
 	_, v = ask(t, hosts[2], broker.Ask{Workspace: "other", Tokens: 90})
 	assert.Assert(t, v.Target != "", "%v", v.Refusal)
 }
+
+// Requests on their way to a leader that was lost passed at the next one whatever
+// their workspace had left.
+func TestRequestsOfALostLeaderAreChargedByTheNext(t *testing.T) {
+	w, hosts, _ := startHosts(t, 3)
+	for _, h := range hosts {
+		awaitLeader(t, h, hostAt(0))
+	}
+	w.setCut(hostAt(0), true)
+	var verdicts []<-chan Verdict
+	for range 4 {
+		_, v := hosts[2].Submit(broker.Ask{Service: "lm", Workspace: "bounded", Tokens: 45, Aim: time.Second, Left: 10 * time.Second})
+		verdicts = append(verdicts, v)
+	}
+	granted, refused := 0, 0
+	for _, v := range verdicts {
+		select {
+		case v := <-v:
+			if v.Refusal != nil && v.Refusal.Quota {
+				refused++
+			} else if v.Target != "" {
+				granted++
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("no verdict")
+		}
+	}
+	assert.Assert(t, granted <= 2, "%d granted of an allowance for two", granted)
+	assert.Equal(t, granted+refused, len(verdicts))
+}
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -151,7 +151,7 @@
 		s.Running = append(s.Running, broker.Running{ID: id, Target: target})
 	}
 	for id, p := range c.pending {
-		s.Asks = append(s.Asks, c.left(now, id, p, p.sent))
+		s.Asks = append(s.Asks, c.left(now, id, p, p.sent && known))
 		p.sent = true
 	}
 	if c.leader == c.self() {
