--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -52,7 +52,7 @@
 	toldCrashes uint64
 	cleared     bool    // a content has been answered since Answers was last asked for
 	breaks      []Break // that may be crashes
-	unsettled   []unsettled
+	unexamined  []unexamined
 	notes       []CrashNote
 
 	grants   map[netip.AddrPort][]Grant
@@ -65,7 +65,7 @@
 	return &Broker{
 		roster: roster.New().Snapshot(), config: (&routes.Config{}).Index(),
 		queues: map[string][]*waiting{}, runs: map[key]*run{}, targets: map[string]*target{},
-		services: map[string]*answers{}, sizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(self, crashLimit), share: 1,
+		services: map[string]*answers{}, sizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(self, crashThreshold), share: 1,
 		grants: map[netip.AddrPort][]Grant{}, refusals: map[netip.AddrPort][]Refusal{},
 	}
 }
@@ -176,7 +176,7 @@
 		b.eject(now, t)
 	}
 	if r.ask != nil {
-		b.unsettle(now, d, r.ask.ask.Content)
+		b.awaitExamination(now, d, r.ask.ask.Content)
 		if d.Outcome == Good {
 			b.answeredWhole(now, r.ask.ask, r.target)
 		}
@@ -225,7 +225,7 @@
 // Tick does what is due by time: it refuses what cannot be served any more.
 func (b *Broker) Tick(now time.Time) {
 	b.settleBreaks(now)
-	b.settleEnds(now)
+	b.expireUnexamined(now)
 	for service := range b.queues {
 		b.shed(now, service)
 		b.match(now, service)
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -425,7 +425,7 @@
 	w := newWorld(4)
 	inFlight := w.ask(hostB, Ask{Content: 7})
 	var crash []uint64
-	for range crashLimit {
+	for range crashThreshold {
 		crash = append(crash, w.ask(hostA, Ask{Content: 7}))
 	}
 	for _, id := range crash {
@@ -454,7 +454,7 @@
 			if c.learned {
 				seer = New(quota.Tolerance{}, 2)
 			}
-			for i := range crashLimit {
+			for i := range crashThreshold {
 				address := netip.AddrPortFrom(netip.MustParseAddr("10.1.0.9"), uint16(i))
 				seer.Broke(w.now, Break{Content: 7, Address: address, At: w.now, Refused: true})
 			}
@@ -491,15 +491,15 @@
 		}
 		return granted
 	}
-	assert.Equal(t, len(running()), crashLimit-1)
+	assert.Equal(t, len(running()), crashThreshold-1)
 	assert.Assert(t, w.granted(hostA, w.ask(hostA, Ask{Content: 8})) != "", "another content waits")
 
 	w.done(hostA, granted[0], Broken, 0) // not examined yet
 	w.done(hostA, granted[1], Failed, 0)
 	w.pass(examination - time.Millisecond)
-	assert.Equal(t, len(running()), crashLimit)
+	assert.Equal(t, len(running()), crashThreshold)
 	w.pass(time.Millisecond) // the first was no crash, or it would be known
-	assert.Equal(t, len(running()), crashLimit+1)
+	assert.Equal(t, len(running()), crashThreshold+1)
 
 	w.done(hostA, granted[2], Good, time.Millisecond)
 	assert.Equal(t, len(running()), len(copies), "a whole answer clears the content")
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -11,10 +11,10 @@
 
 // Bounds of what is recorded of contents that crash targets.
 const (
-	// crashLimit is how many crashes a content is at before it is refused: one
+	// crashThreshold is how many crashes a content is at before it is refused: one
 	// more than a request that only ran beside another's crash meets, with its
 	// caller's one repeat.
-	crashLimit = 3
+	crashThreshold = 3
 	// republish is within which a target that has started anew is published as
 	// such: two of its beats.
 	republish = 2500 * time.Millisecond
@@ -80,23 +80,23 @@
 	b.settleBreaks(now)
 }
 
-// unsettled is a run that ended without its answer a moment ago.
-type unsettled struct {
+// unexamined is a run that ended without its answer a moment ago.
+type unexamined struct {
 	content model.Fingerprint
 	until   time.Time // when it would be known to be a crash
 }
 
-// unsettle notes the end of a run that may turn out to be a crash.
-func (b *Broker) unsettle(now time.Time, d Done, content model.Fingerprint) {
+// awaitExamination notes the end of a run that may turn out to be a crash.
+func (b *Broker) awaitExamination(now time.Time, d Done, content model.Fingerprint) {
 	if d.Outcome == Broken || d.Outcome == Cancelled {
-		b.unsettled = append(b.unsettled, unsettled{content, now.Add(examination)})
+		b.unexamined = append(b.unexamined, unexamined{content, now.Add(examination)})
 	}
 }
 
-// settled drops one such end of a content, whose crash is known now.
-func (b *Broker) settled(content model.Fingerprint) {
-	if i := slices.IndexFunc(b.unsettled, func(u unsettled) bool { return u.content == content }); i >= 0 {
-		b.unsettled = slices.Delete(b.unsettled, i, i+1)
+// examined drops one such end of a content, whose crash is known now.
+func (b *Broker) examined(content model.Fingerprint) {
+	if i := slices.IndexFunc(b.unexamined, func(u unexamined) bool { return u.content == content }); i >= 0 {
+		b.unexamined = slices.Delete(b.unexamined, i, i+1)
 	}
 }
 
@@ -112,23 +112,23 @@
 			crashes++
 		}
 	}
-	for _, u := range b.unsettled {
+	for _, u := range b.unexamined {
 		if u.content == content {
 			crashes++
 		}
 	}
-	return crashes < crashLimit
+	return crashes < crashThreshold
 }
 
-// settleEnds drops the ends of runs that would be known to be crashes by now.
-func (b *Broker) settleEnds(now time.Time) {
-	b.unsettled = slices.DeleteFunc(b.unsettled, func(u unsettled) bool { return !now.Before(u.until) })
+// expireUnexamined drops the ends of runs that would be known to be crashes by now.
+func (b *Broker) expireUnexamined(now time.Time) {
+	b.unexamined = slices.DeleteFunc(b.unexamined, func(u unexamined) bool { return !now.Before(u.until) })
 }
 
 func (b *Broker) recordCrash(now time.Time, k Break) {
 	b.crashes.Crashed(k.At, k.Took, k.Content, k.Address)
 	b.note(now, CrashRecorded, k)
-	b.settled(k.Content)
+	b.examined(k.Content)
 	b.refuseCrashing(now)
 }
 
@@ -218,7 +218,7 @@
 func (b *Broker) LearnCrashes(now time.Time, crashes []member.Crash) {
 	b.crashes.Learn(now, crashes)
 	for _, c := range crashes {
-		b.settled(c.Fingerprint)
+		b.examined(c.Fingerprint)
 	}
 	b.refuseCrashing(now)
 }
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -1,6 +1,7 @@
-// Package crash recognises requests whose content crashes targets. A content
-// that was running at several crashes is refused for a time; the records can be
-// shared, so that the crashes may have been seen by different hosts.
+// Package crash recognises requests whose content crashes targets, also known as
+// queries of death. A content that was running at several crashes, with no whole
+// answer since, is refused for a time; the records can be shared, so that the
+// crashes may have been seen by different hosts.
 package crash
 
 import (
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -25,10 +25,10 @@
 
 // Times and bounds of the loop.
 const (
-	tickPeriod = 10 * time.Millisecond
-	viewPeriod = 100 * time.Millisecond // between looks at who is alive
-	eventRing  = 8192
-	crashLimit = 2 // crashes before a content is refused
+	tickPeriod     = 10 * time.Millisecond
+	viewPeriod     = 100 * time.Millisecond // between looks at who is alive
+	eventRing      = 8192
+	crashThreshold = 2 // crashes before a content is refused
 	// pauseLength is the gap between two ticks that counts as a pause.
 	pauseLength = 500 * time.Millisecond
 )
@@ -118,7 +118,7 @@
 		manager:  permit.NewManager(s.Incarnation),
 		members:  member.New(s.Self, s.Seed),
 		keys:     once.NewTable(s.Self, s.Incarnation),
-		crashes:  crash.NewRecords(uint64(s.Incarnation), crashLimit),
+		crashes:  crash.NewRecords(uint64(s.Incarnation), crashThreshold),
 		verdicts: map[model.RequestID]chan Verdict{},
 		list:     &model.HostList{},
 	}
