Crashes: the field's words in comments and one name

toldCrashes is reportedCrashes; what is 'held against' a content is recorded of it or a suspected crash. Comments, a private name and docs only; no change of behaviour.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -48,12 +48,12 @@
 	quota    *quota.Buckets
 	share    float64 // part of the fleet that is reached from here
 	crashes  *crash.Records
-	// toldCrashes counts the crashes that Crashes has handed out.
-	toldCrashes uint64
-	cleared     bool    // a content has been answered since Answers was last asked for
-	breaks      []Break // that may be crashes
-	unexamined  []unexamined
-	notes       []CrashNote
+	// reportedCrashes counts the crashes that Crashes has handed out.
+	reportedCrashes uint64
+	cleared         bool    // a content has been answered since Answers was last asked for
+	breaks          []Break // that may be crashes
+	unexamined      []unexamined
+	notes           []CrashNote
 
 	grants   map[netip.AddrPort][]Grant
 	refusals map[netip.AddrPort][]Refusal
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -49,7 +49,7 @@
 	CrashesCleared CrashStep = "Cleared"   // a target has answered the content whole
 )
 
-// CrashNote tells what is held against a content and why, for logs and metrics.
+// CrashNote tells what became of a suspected crash, for logs and metrics.
 type CrashNote struct {
 	Step    CrashStep
 	Break   Break
@@ -100,7 +100,7 @@
 	}
 }
 
-// mayRun reports whether one more run of a content can be borne: one that has
+// mayRun reports whether one more run of a content is allowed: one that has
 // crashed targets runs at most as often at once as it may crash further ones.
 func (b *Broker) mayRun(now time.Time, content model.Fingerprint) bool {
 	crashes := b.crashes.Count(now, content)
@@ -203,9 +203,9 @@
 // Crashes gives the crashes that were recorded here since it was last asked for,
 // so that other hosts know them.
 func (b *Broker) Crashes(now time.Time) []member.Crash {
-	after := b.toldCrashes
-	b.toldCrashes = b.crashes.Seen()
-	if after == b.toldCrashes {
+	after := b.reportedCrashes
+	b.reportedCrashes = b.crashes.Seen()
+	if after == b.reportedCrashes {
 		return nil
 	}
 	return b.crashes.Own(now, after)
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -151,7 +151,7 @@
 	time.Sleep(2 * took) // the target is back
 }
 
-// What was held against contents went with the leader, so that a content could
+// What was recorded of contents went with the leader, so that a content could
 // crash three more targets under each new one.
 func TestCrashesAreKnownToTheNextLeader(t *testing.T) {
 	_, hosts, kill := startHosts(t, 3)
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -49,7 +49,7 @@
 	broker.CrashesCleared: "crashes cleared",
 }
 
-// noteCrashes logs and counts what is held against contents, and what is not.
+// noteCrashes logs and counts what became of suspected crashes.
 func (c *Coord) noteCrashes() {
 	for _, n := range c.broker.CrashNotes() {
 		k := n.Break
@@ -169,7 +169,7 @@
 	c.handCrashes(now, host)
 }
 
-// handCrashes tells a host that this one was out of touch with what is recorded
+// handCrashes tells a host that may have missed some what is recorded of crashes
 // here.
 func (c *Coord) handCrashes(now time.Time, host netip.AddrPort) {
 	m := Crashes{c.broker.AllCrashes(now), c.broker.AllAnswers(now)}
