Settings: which file is in force shows in status, metrics and logs

Cause: of a reload only a log line told; a file with findings left nothing to be seen but one line, and findings named the file but not the line. On sites where settings files change nobody could tell from outside what a host went by.

Change: each reading has a digest; the status tells the file read last, its findings with line, the file in force since when, and what waits for a restart; gauges and a counter say the same.

--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -37,7 +37,7 @@
 	if c.Node == "" {
 		c.Node = platform.NodePath()
 	}
-	node, err := platform.LoadNode(c.Node)
+	node, _, err := platform.LoadNode(c.Node)
 	if err != nil {
 		return err
 	}
@@ -113,12 +113,13 @@
 
 // reload applies the settings file anew; one with findings changes nothing.
 func (c *edgeCommand) reload(h *edge.Host, cause string) {
-	node, err := platform.LoadNode(c.Node)
+	node, digest, err := platform.LoadNode(c.Node)
+	read := edge.Read{Cause: cause, Digest: digest}
 	if err != nil {
-		h.RejectSettings(cause, err)
+		h.RejectSettings(read, err)
 		return
 	}
-	h.Reload(cause, node.Edge)
+	h.Reload(read, node.Edge)
 }
 
 func storeSource(node *platform.Node) edge.Source {
--- a/io/cmds/edge_test.go
+++ b/io/cmds/edge_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -13,6 +16,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"yuccadoor/io/edge"
 )
 
 const nodeText = `
@@ -49,7 +54,8 @@
 	write(2)
 	var out safeBuffer
 	ended := make(chan int)
-	go func() { ended <- Main([]string{"edge", "--node", path}, &out, &out) }()
+	admin := netip.MustParseAddrPort(freeAddress(t))
+	go func() { ended <- Main([]string{"edge", "--node", path, "--admin-port", fmt.Sprint(admin.Port())}, &out, &out) }()
 	await := func(text string) {
 		t.Helper()
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -68,6 +74,24 @@
 	assert.NilError(t, os.WriteFile(path, []byte("zone = 7"), 0o600))
 	assert.NilError(t, os.Chtimes(path, time.Time{}, time.Now().Add(2*time.Second)))
 	await("settings rejected")
+	// What is in force shows from outside, and what is wrong with the file.
+	var s edge.Status
+	assert.NilError(t, ask(t.Context(), admin, "/status", &s))
+	assert.Equal(t, s.Settings.Cause, "file")
+	assert.Equal(t, s.Settings.Grace, time.Second)
+	assert.Assert(t, s.Settings.Read != s.Settings.InForce)
+	assert.Equal(t, len(s.Settings.Findings), 1)
+	assert.Assert(t, strings.Contains(s.Settings.Findings[0], path+":1:"), s.Settings.Findings[0])
+	reply, err := http.Get("http://" + admin.String() + "/metrics")
+	assert.NilError(t, err)
+	defer reply.Body.Close()
+	text, err := io.ReadAll(reply.Body)
+	assert.NilError(t, err)
+	for _, line := range []string{
+		"yuccadoor_settings_rejected 1", `yuccadoor_settings_reads_total{outcome="InForce"} 2`, `yuccadoor_settings_reads_total{outcome="Rejected"} 1`,
+	} {
+		assert.Assert(t, strings.Contains(string(text), line), "%s is not in %s", line, text)
+	}
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
 	select {
 	case status := <-ended:
--- a/io/edge/counts.go
+++ b/io/edge/counts.go
@@ -12,7 +12,6 @@
 
 	"yuccadoor/core/broker"
 	"yuccadoor/core/burn"
-	"yuccadoor/io/coord"
 	"yuccadoor/io/gate"
 )
 
@@ -96,6 +95,30 @@
 	n.set.GetOrCreateCounter(fmt.Sprintf(`yuccadoor_target_notices_total{kind=%q}`, kind)).Inc()
 }
 
+// settingsRead counts a reading of the settings file by what became of it.
+func (n *counts) settingsRead(outcome string) {
+	n.set.GetOrCreateCounter(fmt.Sprintf(`yuccadoor_settings_reads_total{outcome=%q}`, outcome)).Inc()
+}
+
+// watchSettings shows when settings were read and came into force, in Unix seconds,
+// and whether those read last are not in force.
+func (n *counts) watchSettings(status func() SettingsStatus) {
+	unix := func(t time.Time) float64 {
+		if t.IsZero() {
+			return 0
+		}
+		return float64(t.UnixMilli()) / 1e3
+	}
+	n.set.NewGauge("yuccadoor_settings_read_seconds", func() float64 { return unix(status().ReadAt) })
+	n.set.NewGauge("yuccadoor_settings_in_force_seconds", func() float64 { return unix(status().Since) })
+	n.set.NewGauge("yuccadoor_settings_rejected", func() float64 {
+		if len(status().Findings) > 0 {
+			return 1
+		}
+		return 0
+	})
+}
+
 // Crash implements coord.Counters.
 func (n *counts) Crash(step broker.CrashStep) {
 	n.set.GetOrCreateCounter(fmt.Sprintf(`yuccadoor_crash_suspicions_total{step=%q}`, step)).Inc()
@@ -113,11 +136,11 @@
 }
 
 // adminServer serves operators: health, status and metrics.
-func adminServer(c *coord.Coord, n *counts) *http.Server {
+func adminServer(h *Host, n *counts) *http.Server {
 	r := mux.NewRouter()
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.HandleFunc("/status", func(w http.ResponseWriter, req *http.Request) {
-		s, err := c.Status(req.Context())
+		s, err := h.Status(req.Context())
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -72,6 +72,7 @@
 	Retries     budget.Bounds
 	Tolerance   quota.Tolerance // of workspaces' allowances
 	LogLevel    string
+	Digest      string        // of the file that the settings are from; empty for none
 	Spread      spread.Policy // how targets are chosen without coordination; empty for the broker
 }
 
@@ -103,6 +104,8 @@
 	front    *http.Server
 	idle     *idleConns
 	grace    atomic.Int64 // in nanoseconds, as last reloaded
+	kept     settingsLog
+	counts   *counts
 }
 
 // New starts a host and returns it with its clean-up function, which stops at
@@ -142,12 +145,15 @@
 		cleanup()
 		return nil, nil, err
 	}
-	log.Event("info", "host started", "Host", s.Name, "Zone", s.Zone, "Front", s.Front, "Peer", s.Peer, "Power", s.Power)
+	h.kept.inForce(o.Now(), Read{"start", s.Digest}, s, nil)
+	log.Event("info", "host started", "Digest", s.Digest, "Host", s.Name, "Zone", s.Zone, "Front", s.Front, "Peer", s.Peer, "Power", s.Power)
 	return h, cleanup, nil
 }
 
 func (h *Host) startCounts(context.Context, *kernel.Kernel) (any, kernel.Cleanup, error) {
-	return newCounts(h.options.Now), nil, nil
+	h.counts = newCounts(h.options.Now)
+	h.counts.watchSettings(h.kept.get)
+	return h.counts, nil, nil
 }
 
 func (h *Host) startCoord(ctx context.Context, k *kernel.Kernel) (any, kernel.Cleanup, error) {
@@ -230,7 +236,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	server := adminServer(h.coord, n)
+	server := adminServer(h, n)
 	cleanup, err := serve(server, h.settings.Admin)
 	return server, cleanup, errors.Wrap(err, "listen for operators")
 }
@@ -280,22 +286,16 @@
 	return func() { server.Close() }, nil
 }
 
-// Status is what the host sees.
-func (h *Host) Status(ctx context.Context) (coord.Status, error) { return h.coord.Status(ctx) }
-
-// Reload takes new settings of a running host: seeds, bounds and grace. What only
-// a start can change is logged.
-func (h *Host) Reload(cause string, s Settings) {
-	restart := s.Front != h.settings.Front || s.Peer != h.settings.Peer || s.Ready != h.settings.Ready || s.Zone != h.settings.Zone
-	h.log.Event("info", "settings reloaded", "Cause", cause, "NeedsRestart", restart, "Seeds", len(s.Seeds), "Grace", s.Grace)
-	h.grace.Store(int64(s.Grace))
-	h.gate.SetBounds(s.Retries)
-	h.coord.Reload(s.Seeds, s.Tolerance)
+// Status is what a host sees, for operators.
+type Status struct {
+	coord.Status
+	Settings SettingsStatus
 }
 
-// RejectSettings logs that new settings have findings; the former stay in force.
-func (h *Host) RejectSettings(cause string, err error) {
-	h.log.Event("error", "settings rejected", "Cause", cause, "Error", err)
+// Status is what the host sees.
+func (h *Host) Status(ctx context.Context) (Status, error) {
+	s, err := h.coord.Status(ctx)
+	return Status{s, h.kept.get()}, err
 }
 
 // Stop ends the host gracefully within its grace: it is not ready any more, but
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -21,6 +21,7 @@
 	mayHaveRun bool
 	took       time.Duration
 	first      time.Duration // from sending to the first event; 0 for none
+	pause      time.Duration // the longest between two events
 	firstAt    time.Time     // when the first event came; zero for none
 	heardAt    time.Time     // when the last event came; zero for none
 	silent     time.Duration // from the last event, or the sending, to the end
@@ -51,6 +52,7 @@
 	if !r.firstAt.IsZero() {
 		r.first = r.firstAt.Sub(begun)
 	}
+	c.pause = max(c.pause, r.pause)
 	if r.mayHaveRun {
 		c.ran++
 	}
@@ -227,7 +229,11 @@
 			c.begin(a)
 		}
 		c.tokens++
-		r.heardAt = c.gate.Now()
+		now := c.gate.Now()
+		if !r.heardAt.IsZero() {
+			r.pause = max(r.pause, now.Sub(r.heardAt))
+		}
+		r.heardAt = now
 		_, err = c.writer.Write(e.Raw)
 		if err == nil {
 			err = control.Flush()
--- a/io/gate/call.go
+++ b/io/gate/call.go
@@ -40,6 +40,7 @@
 	relayed stream   // what the caller has of a stream
 	tokens  int
 	first   time.Duration
+	pause   time.Duration // the longest between two events of one run
 	status  int
 	cause   string
 	target  string
@@ -272,6 +273,6 @@
 	c.gate.Log.Event("info", "request ended", "Request", c.caller.ID, "Content", c.content, "Route", route, "Service", c.service,
 		"Workspace", o.Workspace, "Tier", tier, "Class", class, "Status", c.status, "Cause", c.cause, "Target", c.target,
 		"Sends", c.sends, "Ran", c.ran, "Waited", c.waited, "Turn", c.turn, "After", c.after,
-		"Prompt", c.caller.Prompt, "Output", c.caller.Output, "Events", c.tokens, "Aim", aim, "First", c.first, "Total", total,
+		"Prompt", c.caller.Prompt, "Output", c.caller.Output, "Events", c.tokens, "Aim", aim, "First", c.first, "Pause", c.pause, "Total", total,
 		"Version", version, "Revision", c.view.Roster.Revision, "Avoided", strings.Join(c.avoid, ","))
 }
