Allowances: a request that was rejected first uses its allowance when it runs

Callers saw nothing; a workspace could use more than its allowance while targets rejected, refused connections or left. Cause: the leader gave back what a grant had used when the target had not run the request, and the host asked again as if it were charged.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -173,7 +173,7 @@
 	prompt := 0
 	if r.ask != nil {
 		prompt = r.ask.ask.Prompt
-		if d.Outcome == Rejected || d.Outcome == NoConnect || d.Outcome == Unused {
+		if d.Outcome.NotRun() {
 			b.giveBack(r.ask)
 		}
 	}
--- a/core/broker/message.go
+++ b/core/broker/message.go
@@ -57,6 +57,10 @@
 	Cancelled Outcome = "Cancelled" // the caller left or its time was over
 )
 
+// NotRun reports that the target has not run the request: what it used of an
+// allowance is given back.
+func (o Outcome) NotRun() bool { return o == Rejected || o == NoConnect || o == Unused }
+
 // Done reports the end of a granted request.
 type Done struct {
 	ID      uint64        `cbor:"1,keyasint,omitempty"`
--- a/io/cmds/edge_test.go
+++ b/io/cmds/edge_test.go
@@ -55,7 +55,9 @@
 	var out safeBuffer
 	ended := make(chan int)
 	admin := netip.MustParseAddrPort(freeAddress(t))
-	go func() { ended <- Main([]string{"edge", "--node", path, "--admin-port", fmt.Sprint(admin.Port())}, &out, &out) }()
+	go func() {
+		ended <- Main([]string{"edge", "--node", path, "--admin-port", fmt.Sprint(admin.Port())}, &out, &out)
+	}()
 	await := func(text string) {
 		t.Helper()
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -113,9 +113,9 @@
 	charged process          // the leader that has charged it
 	spread  *spread.Spreader // nil unless this host chooses on its own
 	pending map[uint64]*pending
-	running map[uint64]string // targets of granted requests
-	out     Asks              // collected for the leader
-	fresh   []uint64          // pending requests that the leader was not told yet
+	running map[uint64]granted
+	out     Asks     // collected for the leader
+	fresh   []uint64 // pending requests that the leader was not told yet
 	nextID  uint64
 	beatAt  time.Time
 	ranAt   time.Time
@@ -152,7 +152,7 @@
 		hosts:  hosts.New(now, self, s.Seeds, s.Incarnation),
 		roster: roster.New(), broker: broker.New(s.Tolerance, s.Incarnation),
 		usage:   quota.NewUsage(now, s.Tolerance.Window),
-		pending: map[uint64]*pending{}, running: map[uint64]string{},
+		pending: map[uint64]*pending{}, running: map[uint64]granted{},
 		behind: map[netip.AddrPort]time.Time{},
 		asking: map[netip.AddrPort]bool{}, nextID: rand.Uint64() >> 16,
 		awakeAt: s.Awake(), ranAt: now,
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -152,8 +152,8 @@
 	if !known {
 		s.Used = c.usage.Used(now)
 	}
-	for id, target := range c.running {
-		s.Running = append(s.Running, broker.Running{ID: id, Target: target})
+	for id, g := range c.running {
+		s.Running = append(s.Running, broker.Running{ID: id, Target: g.target})
 	}
 	for id, p := range c.pending {
 		s.Asks = append(s.Asks, c.left(now, id, p, p.sent && known))
@@ -241,16 +241,18 @@
 		p := c.pending[g.ID]
 		if p == nil {
 			// Cancelled, or granted by a former leader: this grant goes unused.
-			if from == c.leader && c.running[g.ID] == "" {
+			if from == c.leader && c.running[g.ID] == (granted{}) {
 				c.out.Dones = append(c.out.Dones, broker.Done{ID: g.ID, Target: g.Target, Outcome: broker.Unused})
 			}
 			continue
 		}
 		delete(c.pending, g.ID)
-		c.running[g.ID] = g.Target
+		run := granted{target: g.Target}
 		if !p.ask.Again && p.ask.Tokens > 0 {
-			c.usage.Add(c.settings.Now(), p.ask.Workspace, p.ask.Tokens)
+			run.workspace, run.tokens = p.ask.Workspace, p.ask.Tokens
+			c.usage.Add(c.settings.Now(), run.workspace, run.tokens)
 		}
+		c.running[g.ID] = run
 		p.verdict <- Verdict{Target: g.Target}
 	}
 	for _, r := range v.Refusals {
--- a/io/coord/requests.go
+++ b/io/coord/requests.go
@@ -13,6 +13,13 @@
 	Refusal *broker.Refusal
 }
 
+// granted is a request that may run.
+type granted struct {
+	target    string
+	workspace string
+	tokens    float64 // that the grant used of the workspace's allowance
+}
+
 type pending struct {
 	ask     broker.Ask
 	asked   time.Time
@@ -58,7 +65,7 @@
 		p.verdict <- Verdict{Refusal: &broker.Refusal{ID: p.ask.ID, Cause: "NoTarget"}}
 		return
 	}
-	c.running[p.ask.ID] = target
+	c.running[p.ask.ID] = granted{target: target}
 	p.verdict <- Verdict{Target: target}
 }
 
@@ -73,8 +80,8 @@
 			}
 			return
 		}
-		if target, ok := c.running[id]; ok {
-			c.finish(now, broker.Done{ID: id, Target: target, Outcome: broker.Unused})
+		if g, ok := c.running[id]; ok {
+			c.finish(now, broker.Done{ID: id, Target: g.target, Outcome: broker.Unused})
 		}
 	})
 }
@@ -89,15 +96,18 @@
 	c.post(func(now time.Time) { c.broker.Broke(now, k) })
 }
 
-func (c *Coord) finish(_ time.Time, d broker.Done) {
-	target, ok := c.running[d.ID]
+func (c *Coord) finish(now time.Time, d broker.Done) {
+	g, ok := c.running[d.ID]
 	if !ok {
 		return
 	}
 	delete(c.running, d.ID)
 	if c.spread != nil {
-		c.spread.Done(target)
+		c.spread.Done(g.target)
 		return
 	}
+	if d.Outcome.NotRun() && g.tokens > 0 {
+		c.usage.Add(now, g.workspace, -g.tokens)
+	}
 	c.out.Dones = append(c.out.Dones, d)
 }
--- a/io/gate/call.go
+++ b/io/gate/call.go
@@ -33,21 +33,22 @@
 	end       time.Time // latest end of the answer
 	startBy   time.Time // latest start of the answer
 
-	sends   int      // to targets
-	ran     int      // of them that ran, or may have run
-	avoid   []string // targets not to be used again
-	charged bool     // its workspace's allowance has been used
-	relayed stream   // what the caller has of a stream
-	tokens  int
-	first   time.Duration
-	pause   time.Duration // the longest between two events of one run
-	status  int
-	cause   string
-	target  string
-	zone    string        // of target
-	waited  time.Duration // for grants
-	turn    time.Duration // as predicted when it was refused
-	after   time.Duration // when the caller was asked to come back
+	sends         int      // to targets
+	ran           int      // of them that ran, or may have run
+	avoid         []string // targets not to be used again
+	charged       bool     // its workspace's allowance has been used
+	chargedBefore bool     // the same before the last grant, which may have been given back
+	relayed       stream   // what the caller has of a stream
+	tokens        int
+	first         time.Duration
+	pause         time.Duration // the longest between two events of one run
+	status        int
+	cause         string
+	target        string
+	zone          string        // of target
+	waited        time.Duration // for grants
+	turn          time.Duration // as predicted when it was refused
+	after         time.Duration // when the caller was asked to come back
 }
 
 // admit finds the request's route and workspace and reads its body. False means
@@ -158,6 +159,9 @@
 			ID: grant, Target: target.ID, Outcome: result.outcome,
 			Took: result.took, First: result.first, Tokens: c.tokens, ColdLeft: result.coldLeft, Pause: result.pause,
 		})
+		if result.outcome.NotRun() {
+			c.charged = c.chargedBefore
+		}
 		// Only once the leader knows that the run has ended.
 		c.examine(target, &result)
 		if result.answered {
@@ -178,7 +182,7 @@
 // its caller has left.
 func (c *call) await(ctx context.Context) (uint64, *roster.Target, bool) {
 	for tries := 0; ; tries++ {
-		asked := c.gate.Now()
+		asked, charged := c.gate.Now(), c.charged
 		id, verdicts := c.gate.Coord.Submit(c.ask(asked))
 		var v coord.Verdict
 		select {
@@ -195,11 +199,13 @@
 			return 0, nil, false
 		}
 		c.charged = true
+		c.chargedBefore = charged
 		if t, ok := c.gate.Coord.View().MaySend(c.gate.Now(), v.Target); ok {
 			return id, t, true
 		}
 		// The leader knew less of the target than this host.
 		c.gate.Coord.Done(broker.Done{ID: id, Target: v.Target, Outcome: broker.Unused})
+		c.charged = charged
 		c.avoid = append(c.avoid, v.Target)
 	}
 }
