Placing: how soon plain services answer is learnt

Cause: an answer that is no stream reported no time to its first part, so that nothing was learnt of its service; in the order of objectives each request was sent at its last moment. Ruled out: the processor (the same without it), the servers (one of three had left, the other two were not slower at full load). Change: such an answer begins when it is whole. TestPlainRequestsThatCannotBeInTimeMakeWay failed before.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -187,8 +187,8 @@
 			b.answeredWhole(now, r.ask.ask, r.target)
 		}
 	}
-	if d.Outcome == Good && d.First > 0 && t.published != nil {
-		b.learnFirst(t, max(d.First-r.behind, 0), prompt)
+	if d.Outcome == Good && t.published != nil {
+		b.learnFirst(t, max(d.first()-r.behind, 0), prompt)
 		b.learnPause(t, d)
 	}
 	if t.published != nil {
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -694,3 +694,25 @@
 		})
 	}
 }
+
+// Of plain services nothing was learnt: in the order of their objectives, each request
+// was sent when it could no longer be in time.
+func TestPlainRequestsThatCannotBeInTimeMakeWay(t *testing.T) {
+	w := newWorld(0, routes.Service{Name: "plain"})
+	w.put(roster.Target{ID: "p", Service: "plain", Slots: 1})
+	plain := func(aim time.Duration) uint64 { return w.ask(hostA, Ask{Service: "plain", Aim: aim}) }
+	finish := func(id uint64) {
+		const took = 60 * time.Millisecond
+		w.now = w.now.Add(took)
+		w.b.Done(w.now, hostA, Done{ID: id, Target: "p", Outcome: Good, Took: took})
+		w.take()
+	}
+	for range 20 {
+		finish(plain(300 * time.Millisecond))
+	}
+	running := plain(300 * time.Millisecond)
+	late, inTime := plain(90*time.Millisecond), plain(300*time.Millisecond)
+	finish(running) // 30 ms are left to the objective of the one, 240 ms to that of the other
+	assert.Equal(t, w.granted(hostA, late), "")
+	assert.Equal(t, w.granted(hostA, inTime), "p")
+}
--- a/core/broker/message.go
+++ b/core/broker/message.go
@@ -75,6 +75,14 @@
 	Pause time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
+// first is how soon the answer began: one that is no stream begins when it is whole.
+func (d Done) first() time.Duration {
+	if d.First == 0 && d.Tokens == 0 {
+		return d.Took
+	}
+	return d.First
+}
+
 // Running is a request that a host has under way, told to a new leader.
 type Running struct {
 	ID     uint64 `cbor:"1,keyasint,omitempty"`
