--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -20,6 +20,10 @@
 // ended is the event whose lines are read; io/gate writes them.
 const ended = "request ended"
 
+// lastField is the last that is needed of a request's line; one without it was cut, as
+// by the end of its process.
+const lastField = "Total"
+
 // maxLine bounds a line of a log, in bytes.
 const maxLine = 1 << 20
 
@@ -57,7 +61,7 @@
 }
 
 // Read reads a log to its end. A line of a request that cannot be understood
-// is an error, with its number.
+// is an error, with its number; one that was cut is passed over.
 func Read(log io.Reader) ([]Request, error) {
 	var all []Request
 	lines := bufio.NewScanner(log)
@@ -67,6 +71,9 @@
 		if fields["Event"] != ended {
 			continue
 		}
+		if _, whole := fields[lastField]; !whole {
+			continue
+		}
 		r, err := request(fields)
 		if err != nil {
 			return nil, errors.Wrapf(err, "read line %d of the log", n)
--- a/io/trace/trace_test.go
+++ b/io/trace/trace_test.go
@@ -34,6 +34,15 @@
 	assert.ErrorContains(t, err, "Total")
 }
 
+// The last line of a host that was killed made a whole day unreadable.
+func TestLineThatWasCutIsPassedOver(t *testing.T) {
+	for n := strings.Index(line, "Request="); n < strings.Index(line, " Total="); n += 7 {
+		all, err := Read(strings.NewReader(line[:n] + "\n" + line + "\n"))
+		assert.NilError(t, err, line[:n])
+		assert.Equal(t, len(all), 1)
+	}
+}
+
 // What the log writes, whatever is in a value, comes back.
 func TestLogsAreReadAsWritten(t *testing.T) {
 	for _, value := range []string{"plain", "", "two words", `a "quoted" = one`, "line\nbreak"} {
