Departures of targets are told to all hosts at once

Cause: only configurations were announced. Changes of targets went with beats, to a few hosts a second, and each host fetched all that had changed from one of them. Class: a bound in seconds that rests on rounds of gossip grows with the fleet; zones that are taken out still go that way.

Change: a reader tells all hosts at once which targets have left; it is taken in ahead of what was missed and raises no revision.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -4,6 +4,7 @@
 package roster
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -244,3 +245,46 @@
 	}
 	r.current = s
 }
+
+// Departure tells of one target that is to get nothing more.
+type Departure struct {
+	ID       string `cbor:"1,keyasint,omitempty"`
+	Revision uint64 `cbor:"2,keyasint,omitempty"` // of the entry, or of its removal
+	Gone     bool   `cbor:"3,keyasint,omitempty"` // else it is draining
+}
+
+// Departed lists the targets that have left since an earlier snapshot.
+func (r *Roster) Departed(since *Snapshot) []Departure {
+	var all []Departure
+	for id, was := range since.Targets {
+		switch t := r.targets[id]; {
+		case t == nil:
+			all = append(all, Departure{id, max(r.gone[id], was.Revision), true})
+		case t.Draining && !was.Draining:
+			all = append(all, Departure{id, t.Revision, false})
+		}
+	}
+	slices.SortFunc(all, func(a, b Departure) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Depart takes departures in ahead of all else that is published up to their
+// revisions, which is why it raises none: what was missed is still asked for. It
+// reports whether something has changed.
+func (r *Roster) Depart(all []Departure) bool {
+	before := r.current
+	for _, d := range all {
+		t := r.targets[d.ID]
+		switch {
+		case t == nil || t.Revision > d.Revision:
+		case d.Gone:
+			r.drop(d.ID, d.Revision)
+		case !t.Draining:
+			left := *t
+			left.Draining, left.Revision = true, d.Revision
+			r.targets[d.ID] = &left
+			r.publish()
+		}
+	}
+	return r.current != before
+}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -131,3 +131,32 @@
 		}
 	})
 }
+
+func TestDepartures(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	reader, other := New(), New()
+	for _, r := range []*Roster{reader, other} {
+		for i, id := range []string{"a", "b", "c"} {
+			r.Put(Target{ID: id, Service: "s", Revision: uint64(i + 1)})
+		}
+	}
+	before := reader.Snapshot()
+	reader.Put(Target{ID: "d", Service: "s", Revision: 4}) // that the other misses
+	reader.Put(Target{ID: "a", Service: "s", Revision: 5, Draining: true})
+	reader.Remove(now, "b", 6, false)
+	left := reader.Departed(before)
+	assert.DeepEqual(t, left, []Departure{{"a", 5, false}, {"b", 6, true}})
+	assert.Assert(t, other.Depart(left))
+	assert.Assert(t, !other.Depart(left), "nothing new")
+	s := other.Snapshot()
+	assert.Assert(t, s.Usable("a") == nil && s.Usable("b") == nil && s.Usable("c") != nil)
+	assert.Equal(t, other.Revision(), uint64(3), "what was missed is still asked for")
+	changed, gone, whole := reader.Since(other.Revision())
+	assert.Assert(t, !whole)
+	other.Apply(now, reader.Revision(), changed, gone, nil)
+	assert.Assert(t, other.Snapshot().Usable("d") != nil && other.Snapshot().Usable("a") == nil)
+	// A late word of a departure does not take a target that is back.
+	other.Put(Target{ID: "b", Service: "s", Revision: 7, Born: 2})
+	assert.Assert(t, !other.Depart(left))
+	assert.Assert(t, other.Snapshot().Usable("b") != nil)
+}
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -130,8 +130,9 @@
 	returned  time.Time // when the store came back
 	everUp    bool
 	stopping  bool
-	bound     *notice.Bound   // of this host
-	leaving   []notice.Notice // that other hosts are to be told
+	bound     *notice.Bound      // of this host
+	leaving   []notice.Notice    // that other hosts are to be told
+	departed  []roster.Departure // the same, as published
 }
 
 // process is one run of a host.
@@ -233,6 +234,7 @@
 	c.noteCrashes()
 	c.flushCrashes(now)
 	c.flushNotices(now)
+	c.flushDepartures(now)
 }
 
 func (c *Coord) self() netip.AddrPort { return c.settings.Self }
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -314,3 +314,32 @@
 		assert.Equal(t, v.Target, "t1")
 	}
 }
+
+// In fleets that beat to a few hosts a second, the news that a target leaves took
+// some seconds to reach all.
+func TestDepartureReachesALargeFleetAtOnce(t *testing.T) {
+	const many = 24
+	_, hosts, _ := startHosts(t, many)
+	for _, c := range hosts {
+		awaitLeader(t, c, hostAt(0))
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		s, err := hosts[5].Status(t.Context())
+		if err != nil || len(s.Alive) < many-1 {
+			return poll.Continue("%d alive", len(s.Alive))
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	assert.NilError(t, hosts[5].do(t.Context(), func(time.Time) { hosts[5].reading = true }))
+	hosts[5].FeedTarget(roster.Target{ID: "t0", Service: "lm", Address: netip.MustParseAddrPort("127.0.0.9:1"), Slots: 4, Draining: true, Revision: 2})
+	hosts[5].FeedRemoved("t1", 3)
+	const prompt = 500 * time.Millisecond // half of a beat's period
+	time.Sleep(prompt)
+	late := 0
+	for _, c := range hosts {
+		if v := c.View().Roster; v.Usable("t0") != nil || v.Usable("t1") != nil {
+			late++
+		}
+	}
+	assert.Equal(t, late, 0, "%d of %d hosts do not know yet", late, many)
+}
--- a/io/coord/facts.go
+++ b/io/coord/facts.go
@@ -28,6 +28,7 @@
 	methodVerdicts = "Verdicts"
 	methodCrashes  = "Crashes"
 	methodNotices  = "Notices"
+	methodDeparted = "Departed"
 )
 
 // Beat tells that hosts are alive, the sender first, and what the sender knows.
@@ -78,6 +79,8 @@
 		return unpacked(params, func(now time.Time, m Crashes) { c.takeCrashes(now, m) })
 	case methodNotices:
 		return unpacked(params, func(now time.Time, n []notice.Notice) { c.note(now, from, n) })
+	case methodDeparted:
+		return unpacked(params, func(now time.Time, d []roster.Departure) { c.depart(now, d) })
 	case methodResync:
 		return func(time.Time) {
 			if from == c.leader {
--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -5,6 +5,7 @@
 
 	"yuccadoor/core/roster"
 	"yuccadoor/core/routes"
+	"yuccadoor/io/pack"
 )
 
 // adopt takes a configuration unless a newer one is in force: versions never go
@@ -47,10 +48,37 @@
 }
 
 func (c *Coord) rosterChanged(now time.Time) {
+	if c.reading {
+		c.departed = append(c.departed, c.roster.Departed(c.View().Roster)...)
+	}
 	c.broker.SetRoster(now, c.roster.Snapshot())
 	c.publish()
 }
 
+// flushDepartures tells all hosts at once which targets have left: by beats, which go
+// to a few hosts a second, a large fleet would hear of it too late. Only a reader
+// tells, and its roster is in step with what is published.
+func (c *Coord) flushDepartures(now time.Time) {
+	if len(c.departed) == 0 {
+		return
+	}
+	m := pack.Of(c.departed)
+	c.departed = nil
+	for _, h := range c.hosts.Alive(now) {
+		if h != c.self() {
+			c.mesh.Send(h, methodDeparted, m)
+		}
+	}
+}
+
+// depart takes in which targets have left, as a reader tells.
+func (c *Coord) depart(now time.Time, all []roster.Departure) {
+	if c.roster.Depart(all) {
+		c.broker.SetRoster(now, c.roster.Snapshot())
+		c.publish()
+	}
+}
+
 // Source is what a host reads the published facts from; see platform. The
 // methods below are called by it, from one goroutine.
 
