--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -61,6 +61,7 @@
 	revision uint64
 	targets  map[string]*Target
 	out      map[string]bool
+	outAt    map[string]uint64 // revision of the latest word of a zone by itself
 	gone     map[string]uint64 // revision of the removal, so that older entries stay away
 	floor    uint64            // removals up to it are forgotten
 	current  *Snapshot
@@ -71,7 +72,7 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	r := &Roster{targets: map[string]*Target{}, out: map[string]bool{}, gone: map[string]uint64{}}
+	r := &Roster{targets: map[string]*Target{}, out: map[string]bool{}, outAt: map[string]uint64{}, gone: map[string]uint64{}}
 	r.publish()
 	return r
 }
@@ -173,16 +174,24 @@
 	for _, g := range gone {
 		r.Remove(now, g.ID, g.Revision, false)
 	}
-	r.setOut(out)
+	r.setOut(out, revision)
 	r.revision = max(r.revision, revision)
 	r.publish()
 }
 
-func (r *Roster) setOut(out []string) {
-	r.out = map[string]bool{}
+// setOut takes which zones are out as of a revision; what was said of one since holds.
+func (r *Roster) setOut(out []string, revision uint64) {
+	next := map[string]bool{}
 	for _, z := range out {
-		r.out[z] = true
+		next[z] = true
 	}
+	for z, at := range r.outAt {
+		if at > revision {
+			next[z] = r.out[z]
+		}
+	}
+	maps.DeleteFunc(next, func(_ string, out bool) bool { return !out })
+	r.out = next
 }
 
 // Expire drops entries that lapsed during an outage which ended at returned.
@@ -214,13 +223,18 @@
 		}
 	}
 	r.revision = max(r.revision, revision)
-	r.setOut(out)
+	r.setOut(out, revision)
 	r.publish()
 }
 
 // TakeOut marks a zone as taken out, or as taken back.
 func (r *Roster) TakeOut(zone string, out bool, revision uint64) {
 	r.revision = max(r.revision, revision)
+	r.takeOut(zone, out, revision)
+}
+
+func (r *Roster) takeOut(zone string, out bool, revision uint64) {
+	r.outAt[zone] = max(r.outAt[zone], revision)
 	if r.out[zone] == out {
 		return
 	}
@@ -246,25 +260,32 @@
 	r.current = s
 }
 
-// Departure tells of one target that is to get nothing more.
+// Departure tells of one target, or of all of a zone, that is to get nothing more.
 type Departure struct {
-	ID       string `cbor:"1,keyasint,omitempty"`
+	ID       string `cbor:"1,keyasint,omitempty"` // empty for a zone
 	Revision uint64 `cbor:"2,keyasint,omitempty"` // of the entry, or of its removal
 	Gone     bool   `cbor:"3,keyasint,omitempty"` // else it is draining
+	Zone     string `cbor:"4,keyasint,omitempty"` // that was taken out
 }
 
-// Departed lists the targets that have left since an earlier snapshot.
+// Departed lists the targets that have left, and the zones that were taken out, since
+// an earlier snapshot.
 func (r *Roster) Departed(since *Snapshot) []Departure {
 	var all []Departure
 	for id, was := range since.Targets {
 		switch t := r.targets[id]; {
 		case t == nil:
-			all = append(all, Departure{id, max(r.gone[id], was.Revision), true})
+			all = append(all, Departure{ID: id, Revision: max(r.gone[id], was.Revision), Gone: true})
 		case t.Draining && !was.Draining:
-			all = append(all, Departure{id, t.Revision, false})
+			all = append(all, Departure{ID: id, Revision: t.Revision})
+		}
+	}
+	for z := range r.out {
+		if !since.Out[z] {
+			all = append(all, Departure{Zone: z, Revision: max(r.outAt[z], since.Revision+1)})
 		}
 	}
-	slices.SortFunc(all, func(a, b Departure) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b Departure) int { return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Zone, b.Zone)) })
 	return all
 }
 
@@ -276,6 +297,10 @@
 	for _, d := range all {
 		t := r.targets[d.ID]
 		switch {
+		case d.Zone != "":
+			if d.Revision > max(r.outAt[d.Zone], r.revision) {
+				r.takeOut(d.Zone, true, d.Revision)
+			}
 		case t == nil || t.Revision > d.Revision:
 		case d.Gone:
 			r.drop(d.ID, d.Revision)
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -145,7 +145,7 @@
 	reader.Put(Target{ID: "a", Service: "s", Revision: 5, Draining: true})
 	reader.Remove(now, "b", 6, false)
 	left := reader.Departed(before)
-	assert.DeepEqual(t, left, []Departure{{"a", 5, false}, {"b", 6, true}})
+	assert.DeepEqual(t, left, []Departure{{ID: "a", Revision: 5}, {ID: "b", Revision: 6, Gone: true}})
 	assert.Assert(t, other.Depart(left))
 	assert.Assert(t, !other.Depart(left), "nothing new")
 	s := other.Snapshot()
@@ -160,3 +160,26 @@
 	assert.Assert(t, !other.Depart(left))
 	assert.Assert(t, other.Snapshot().Usable("b") != nil)
 }
+
+func TestZoneThatIsTakenOutIsKnownAheadOfTheRest(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	reader, other := New(), New()
+	for _, r := range []*Roster{reader, other} {
+		r.Put(Target{ID: "a", Service: "s", Zone: "z", Revision: 3})
+	}
+	before := reader.Snapshot()
+	reader.Put(Target{ID: "b", Service: "s", Zone: "y", Revision: 4})
+	reader.TakeOut("z", true, 6)
+	left := reader.Departed(before)
+	assert.DeepEqual(t, left, []Departure{{Zone: "z", Revision: 6}})
+	assert.Assert(t, other.Depart(left))
+	assert.Assert(t, other.Snapshot().Usable("a") == nil)
+	assert.Equal(t, other.Revision(), uint64(3))
+	// What another host knows of a time before does not bring it back.
+	other.Apply(now, 5, nil, nil, nil)
+	assert.Assert(t, other.Snapshot().Usable("a") == nil)
+	other.Apply(now, 7, nil, nil, nil)
+	assert.Assert(t, other.Snapshot().Usable("a") != nil, "taken back")
+	assert.Assert(t, !other.Depart(left), "a late word")
+	assert.Assert(t, other.Snapshot().Usable("a") != nil)
+}
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -333,11 +333,12 @@
 	assert.NilError(t, hosts[5].do(t.Context(), func(time.Time) { hosts[5].reading = true }))
 	hosts[5].FeedTarget(roster.Target{ID: "t0", Service: "lm", Address: netip.MustParseAddrPort("127.0.0.9:1"), Slots: 4, Draining: true, Revision: 2})
 	hosts[5].FeedRemoved("t1", 3)
+	hosts[5].FeedZone("z", true, 4)
 	const prompt = 500 * time.Millisecond // half of a beat's period
 	time.Sleep(prompt)
 	late := 0
 	for _, c := range hosts {
-		if v := c.View().Roster; v.Usable("t0") != nil || v.Usable("t1") != nil {
+		if v := c.View().Roster; v.Usable("t0") != nil || v.Usable("t1") != nil || !v.Out["z"] {
 			late++
 		}
 	}
--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -55,7 +55,7 @@
 	c.publish()
 }
 
-// flushDepartures tells all hosts at once which targets have left: by beats, which go
+// flushDepartures tells all hosts at once which targets and zones have left: by beats, which go
 // to a few hosts a second, a large fleet would hear of it too late. Only a reader
 // tells, and its roster is in step with what is published.
 func (c *Coord) flushDepartures(now time.Time) {
