--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -34,8 +34,8 @@
 type run struct {
 	target string
 	ask    *waiting // nil for a run told by Sync
-	// behind is for how long the target was probably to read other prompts first.
-	behind time.Duration
+	// backlog is for how long the target was probably to read other prompts first.
+	backlog time.Duration
 }
 
 // Broker is the state of one leader.
@@ -112,7 +112,7 @@
 			b.targets[id] = k
 		}
 		k.published = t
-		k.said = b.notices.Of(t)
+		k.notice = b.notices.Of(t)
 	}
 	b.settleBreaks(now)
 	b.matchAll(now)
@@ -187,8 +187,8 @@
 			b.answeredWhole(now, r.ask.ask, r.target)
 		}
 	}
-	if d.Outcome == Good && t.published != nil {
-		b.learnFirst(t, max(d.first()-r.behind, 0), prompt)
+	if first := d.first(); d.Outcome == Good && first > 0 && t.published != nil {
+		b.learnFirst(t, max(first-r.backlog, 0), prompt)
 		b.learnPause(t, d)
 	}
 	if t.published != nil {
@@ -314,13 +314,13 @@
 	if now.Add(b.firstPart(w)).After(w.aimAt) {
 		return true
 	}
-	return !now.Add(t.toRead(now) + b.firstAt(w, t)).After(w.aimAt)
+	return !now.Add(t.prefillBacklog(now) + b.firstAt(w, t)).After(w.aimAt)
 }
 
 func (b *Broker) grant(now time.Time, w *waiting, t *target) {
-	behind := t.toRead(now)
+	backlog := t.prefillBacklog(now)
 	t.sent(now, b, w)
 	t.running++
-	b.runs[w.key] = &run{target: t.published.ID, ask: w, behind: behind}
+	b.runs[w.key] = &run{target: t.published.ID, ask: w, backlog: backlog}
 	b.grants[w.host] = append(b.grants[w.host], Grant{ID: w.ask.ID, Target: t.published.ID})
 }
--- a/core/broker/notice.go
+++ b/core/broker/notice.go
@@ -16,7 +16,7 @@
 		return false
 	}
 	if t := b.targets[n.Target]; t != nil && t.published != nil {
-		t.said = b.notices.Of(t.published)
+		t.notice = b.notices.Of(t.published)
 	}
 	return true
 }
--- a/core/broker/order.go
+++ b/core/broker/order.go
@@ -48,8 +48,8 @@
 	return time.Duration(float64(b.firstPart(w)) * b.slowness(t))
 }
 
-// readTime is how long a target probably reads a request's prompt.
-func (b *Broker) readTime(w *waiting, t *target) time.Duration {
+// prefillTime is how long a target probably reads a request's prompt.
+func (b *Broker) prefillTime(w *waiting, t *target) time.Duration {
 	s := b.services[w.ask.Service]
 	if s == nil {
 		return 0
--- a/core/broker/pause.go
+++ b/core/broker/pause.go
@@ -38,7 +38,7 @@
 		return true
 	}
 	most := time.Duration(pausePart * float64(t.shortest))
-	if time.Duration(float64(a.pause)*b.slowness(t)) <= most || t.toRead(now)+b.readTime(w, t) <= most {
+	if time.Duration(float64(a.pause)*b.slowness(t)) <= most || t.prefillBacklog(now)+b.prefillTime(w, t) <= most {
 		return true
 	}
 	return now.Add(b.firstPart(w)).After(w.aimAt)
--- a/core/broker/shed.go
+++ b/core/broker/shed.go
@@ -66,7 +66,7 @@
 func (b *Broker) pace(now time.Time, service string) float64 {
 	sum := 0.0
 	for _, p := range b.roster.Of(service) {
-		if t := b.targets[p.ID]; t != nil && !t.said.Leaving() && t.blocked(now) == 0 {
+		if t := b.targets[p.ID]; t != nil && !t.notice.Leaving() && t.blocked(now) == 0 {
 			sum += float64(t.slots(b)) * float64(time.Second) / float64(t.speed())
 		}
 	}
@@ -89,7 +89,7 @@
 	least := notice.PauseMost + 1
 	for _, p := range b.roster.Of(service) {
 		t := b.targets[p.ID]
-		if t == nil || t.said.Leaving() || slices.Contains(avoid, p.ID) {
+		if t == nil || t.notice.Leaving() || slices.Contains(avoid, p.ID) {
 			continue
 		}
 		if least = min(least, t.blockedFor(now, host)); least == 0 {
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -62,10 +62,10 @@
 	ejectedUntil  time.Time     // for failing
 	coldUntil     time.Time     // as it told with an answer
 	nextCold      time.Time     // when a cold target may get its next request
-	said          *notice.Known // what it has said of itself; nil for nothing
-	// readUntil is when the prompts that it was handed are probably read: engines
+	notice        *notice.Known // what it has said of itself; nil for nothing
+	// prefillUntil is when the prompts that it was handed are probably read: engines
 	// read them one after the other.
-	readUntil time.Time
+	prefillUntil time.Time
 	// shortest is the shortest pause between events that its streams allow, since it
 	// was last idle; 0 for none.
 	shortest time.Duration
@@ -94,7 +94,7 @@
 
 // blockedFor is how long a host backs off from the target.
 func (t *target) blockedFor(now time.Time, host netip.AddrPort) time.Duration {
-	return max(t.unreached[host].until.Sub(now), t.said.PausedFor(now, host), t.blocked(now), 0)
+	return max(t.unreached[host].until.Sub(now), t.notice.PausedFor(now, host), t.blocked(now), 0)
 }
 
 // blocked is how long all hosts back off from the target.
@@ -105,7 +105,7 @@
 			waits = append(waits, wait)
 		}
 	}
-	return max(agreed(waits), agreed(t.said.Pauses(now)))
+	return max(agreed(waits), agreed(t.notice.Pauses(now)))
 }
 
 // costOf gives the size of a request in output tokens.
@@ -128,7 +128,7 @@
 	if t.bad >= badInRow && (now.Before(t.ejectedUntil) || t.running > 0) {
 		return false // ejected, or on trial with one request
 	}
-	if t.running >= t.slots(b) || t.said.Leaving() || t.blocked(now) > 0 {
+	if t.running >= t.slots(b) || t.notice.Leaving() || t.blocked(now) > 0 {
 		return false
 	}
 	if now.Before(t.rejectedUntil) && t.running > 0 {
@@ -137,18 +137,18 @@
 	return !t.cold(now) || !now.Before(t.nextCold)
 }
 
-// toRead is how long the target probably still reads prompts of others.
-func (t *target) toRead(now time.Time) time.Duration {
+// prefillBacklog is how long the target probably still reads prompts of others.
+func (t *target) prefillBacklog(now time.Time) time.Duration {
 	if t.running == 0 {
 		return 0
 	}
-	return max(t.readUntil.Sub(now), 0)
+	return max(t.prefillUntil.Sub(now), 0)
 }
 
 // sent notes a grant: its prompt is read after those before it, and a cold target
 // has had one of its pace.
 func (t *target) sent(now time.Time, b *Broker, w *waiting) {
-	t.readUntil = now.Add(t.toRead(now) + b.readTime(w, t))
+	t.prefillUntil = now.Add(t.prefillBacklog(now) + b.prefillTime(w, t))
 	t.notePause(w)
 	s := b.config.Service(t.published.Service)
 	if s == nil || s.ColdPerSecond <= 0 || !t.cold(now) {
@@ -283,7 +283,7 @@
 // and the way to another availability zone make it longer.
 func (b *Broker) score(now time.Time, w *waiting, t *target) float64 {
 	s := w.cost * t.speed().Seconds() * (1 + float64(t.running)/float64(4*t.slots(b)))
-	s += t.toRead(now).Seconds()
+	s += t.prefillBacklog(now).Seconds()
 	s *= 1 + errorFactor*t.failing
 	if t.published.Zone != w.ask.Zone {
 		s *= remoteFactor
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -62,13 +62,13 @@
 
 type run struct {
 	Job
-	unread int // prompt tokens
-	unmade int // output tokens
-	begun  bool
-	ready  time.Time // when its first token may be made; zero while its prompt is read
-	endAt  time.Time // of a plain job
-	told   time.Time // when its last event was complete
-	pause  time.Duration
+	unread  int // prompt tokens
+	unmade  int // output tokens
+	begun   bool
+	ready   time.Time // when its first token may be made; zero while its prompt is read
+	endAt   time.Time // of a plain job
+	eventAt time.Time // when its last event was complete
+	pause   time.Duration
 }
 
 // Engine is one engine. It is driven by Arrive and Advance in the order of time.
@@ -323,8 +323,8 @@
 	if r.unmade > 0 && made%max(e.profile.Stride, 1) != 0 {
 		return
 	}
-	if !r.told.IsZero() {
-		r.pause = max(r.pause, at.Sub(r.told))
+	if !r.eventAt.IsZero() {
+		r.pause = max(r.pause, at.Sub(r.eventAt))
 	}
-	r.told = at
+	r.eventAt = at
 }
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -237,6 +237,15 @@
 	c.flushDepartures(now)
 }
 
+// tellAll sends a message to all other hosts that are alive.
+func (c *Coord) tellAll(now time.Time, method string, params any) {
+	for _, h := range c.hosts.Alive(now) {
+		if h != c.self() {
+			c.mesh.Send(h, method, params)
+		}
+	}
+}
+
 func (c *Coord) self() netip.AddrPort { return c.settings.Self }
 
 // publish makes the current state visible to requests.
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -344,3 +344,45 @@
 	}
 	assert.Equal(t, late, 0, "%d of %d hosts do not know yet", late, many)
 }
+
+// Any host may lead next, also when the one that was told and the leader are gone at
+// once.
+func TestLeavingOfATargetIsToldToAllHosts(t *testing.T) {
+	_, hosts, kill := startHosts(t, 4)
+	for _, c := range hosts {
+		awaitLeader(t, c, hostAt(0))
+		_, v := ask(t, c, broker.Ask{}) // the leader has its state
+		assert.Assert(t, v.Target != "", "%v", v.Refusal)
+	}
+	hosts[3].Noticed(notice.Notice{Target: "t0", Leaving: true})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for i, c := range hosts {
+			if _, may := c.View().MaySend(time.Now(), "t0"); may {
+				return poll.Continue("host %d does not know", i)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Second))
+	kill(3)
+	kill(0)
+	awaitLeader(t, hosts[2], hostAt(1))
+	_, v := ask(t, hosts[2], broker.Ask{})
+	assert.Equal(t, v.Target, "t1")
+}
+
+// What a target asks of one host binds the next leader's grants to that host.
+func TestPauseIsKnownToTheNextLeader(t *testing.T) {
+	_, hosts, kill := startHosts(t, 3)
+	for _, c := range hosts {
+		awaitLeader(t, c, hostAt(0))
+	}
+	hosts[2].Noticed(notice.Notice{Target: "t0", Pause: time.Minute})
+	kill(0)
+	awaitLeader(t, hosts[2], hostAt(1))
+	for range 4 {
+		_, v := ask(t, hosts[2], broker.Ask{})
+		assert.Equal(t, v.Target, "t1")
+	}
+	_, v := ask(t, hosts[1], broker.Ask{})
+	assert.Equal(t, v.Target, "t0", "the other host may send there")
+}
--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -62,13 +62,8 @@
 	if len(c.departed) == 0 {
 		return
 	}
-	m := pack.Of(c.departed)
+	c.tellAll(now, methodDeparted, pack.Of(c.departed))
 	c.departed = nil
-	for _, h := range c.hosts.Alive(now) {
-		if h != c.self() {
-			c.mesh.Send(h, methodDeparted, m)
-		}
-	}
 }
 
 // depart takes in which targets have left, as a reader tells.
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -73,11 +73,7 @@
 	if m.empty() {
 		return
 	}
-	for _, h := range c.hosts.Alive(now) {
-		if h != c.self() {
-			c.mesh.Send(h, methodCrashes, pack.Of(m))
-		}
-	}
+	c.tellAll(now, methodCrashes, pack.Of(m))
 }
 
 // elect looks who leads and drops what dead hosts had asked here.
--- a/io/coord/notice.go
+++ b/io/coord/notice.go
@@ -49,13 +49,8 @@
 	if len(c.leaving) == 0 {
 		return
 	}
-	m := pack.Of(c.leaving)
+	c.tellAll(now, methodNotices, pack.Of(c.leaving))
 	c.leaving = nil
-	for _, h := range c.hosts.Alive(now) {
-		if h != c.self() {
-			c.mesh.Send(h, methodNotices, m)
-		}
-	}
 }
 
 // handNotices tells a host that may have missed some which targets leave.
