Soak: the server that says it leaves is one that gets requests

TestChecksSeeSeededFaults (Left, server says that it leaves) failed once in three runs: the server that was picked had got nothing since, so that nothing could be seen. Worse, a server that had told nobody would have been held to it. The busiest one is picked, and one that nobody has heard is not marked.

--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -268,22 +269,25 @@
 // answers only, while a host is killed and comes back.
 const speaking = "server says that it leaves, alone"
 
-// speakAlone lets a server say in its answers that it leaves, and notes it as
-// leaveAlone does, from its first such answer on.
+// speakAlone lets the server that lately got the most say in its answers that it
+// leaves, and notes it as leaveAlone does, from its first such answer on.
 func (r *run) speakAlone() {
 	time.Sleep(touch)
-	n := r.random.IntN(1 << 16)
-	s := r.servers[n%len(r.servers)]
+	s := r.busiest(time.Now().Add(-touch))
 	r.note("%6.2f s %s: %s", time.Since(r.start).Seconds(), speaking, s.ID)
 	before := len(s.Sent())
 	if s.Tamper != "Left" {
 		s.Decorate(stand.Leaving)
 	}
-	for end := time.Now().Add(touch); len(s.Sent()) == before && time.Now().Before(end); {
+	for end := time.Now().Add(touch); len(s.Sent()) == before; {
+		if time.Now().After(end) {
+			s.Decorate(nil) // nobody was told
+			return
+		}
 		time.Sleep(time.Millisecond)
 	}
 	from := time.Now()
-	back := r.killHost(n / 8)
+	back := r.killHost(r.random.IntN(1 << 16))
 	time.Sleep(hostComeBack)
 	back()
 	time.Sleep(leaveLength)
@@ -294,6 +298,14 @@
 	s.Register(r.store)
 }
 
+// busiest is the server that has got the most requests since a time.
+func (r *run) busiest(since time.Time) *stand.Server {
+	got := func(s *stand.Server) int {
+		return len(slices.DeleteFunc(s.Sent(), func(a stand.Arrival) bool { return a.At.Before(since) }))
+	}
+	return slices.MaxFunc(r.servers, func(a, b *stand.Server) int { return cmp.Compare(got(a), got(b)) })
+}
+
 // cool turns an engine cold; plain servers have no bound for it.
 func (r *run) cool(n int) func() {
 	engines := slices.DeleteFunc(slices.Clone(r.servers), func(s *stand.Server) bool { return s.Service != "engine" })
