Broker: the end of a request frees the place that is held for it

Cause: a host took a grant from before it had told its state again, the leader granted once more, and left the host's report of the other target aside: the place was lost.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -161,10 +161,18 @@
 func (b *Broker) Done(now time.Time, host netip.AddrPort, d Done) {
 	k := key{host, d.ID}
 	r := b.runs[k]
-	if r == nil || r.target != d.Target {
+	if r == nil {
 		return
 	}
 	delete(b.runs, k)
+	if r.target != d.Target {
+		// The host used a grant from before it told its state again, and never this one.
+		if t := b.targets[r.target]; t != nil {
+			t.running--
+		}
+		b.matchAll(now)
+		return
+	}
 	t := b.targets[r.target]
 	if t == nil {
 		return
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -716,3 +716,37 @@
 	assert.Equal(t, w.granted(hostA, late), "")
 	assert.Equal(t, w.granted(hostA, inTime), "p")
 }
+
+// A host that had taken a grant from before its state was told again reported the end
+// at that target; the place of the grant after it was lost for good, and with enough of
+// them nothing more was granted.
+func TestGrantThatIsNotUsedIsFreedWithItsRequest(t *testing.T) {
+	w := newWorld(2, routes.Service{Name: "engine", Engine: true, Slots: 1})
+	first := w.ask(hostA, Ask{})
+	taken := w.granted(hostA, first)
+	w.ask(hostB, Ask{})
+	waits := w.ask(hostB, Ask{}) // gets the place that is free once host A's state is dropped
+	w.given = map[netip.AddrPort][]Grant{}
+	w.b.Forget(w.now, hostA)
+	w.take()
+	assert.Equal(t, w.granted(hostB, waits), taken)
+	w.done(hostB, waits, Good, time.Second)
+	w.b.Sync(w.now, hostA, nil, []Ask{{ID: first, Service: "engine", Aim: time.Second, Left: 10 * time.Second, Avoid: []string{taken}}})
+	w.take()
+	assert.Equal(t, w.granted(hostA, first), "", "the other target is busy")
+	for _, g := range w.given[hostB] {
+		w.b.Done(w.now, hostB, Done{ID: g.ID, Target: g.Target, Outcome: Good, Took: time.Second, Tokens: 10})
+	}
+	for k, r := range w.b.runs {
+		if k.host == hostB {
+			w.b.Done(w.now, hostB, Done{ID: k.id, Target: r.target, Outcome: Good, Took: time.Second, Tokens: 10})
+		}
+	}
+	w.take()
+	other := w.granted(hostA, first)
+	assert.Assert(t, other != "" && other != taken)
+	w.b.Done(w.now, hostA, Done{ID: first, Target: taken, Outcome: Good, Took: time.Second, Tokens: 10})
+	assert.Equal(t, len(w.b.runs), 0)
+	next := w.ask(hostB, Ask{Avoid: []string{taken}})
+	assert.Equal(t, w.granted(hostB, next), other)
+}
