--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -188,13 +188,17 @@
 // Exchange trades states with a peer.
 func (p *Peers) Exchange(ctx context.Context, to netip.AddrPort, x member.Exchange) (member.Exchange, error) {
 	var reply member.Exchange
-	err := p.mesh.Call(ctx, to, methodExchange, x, &reply)
-	return reply, err
+	if err := p.mesh.Call(ctx, to, methodExchange, x, &reply); err != nil {
+		return member.Exchange{}, err // the reply may still be written
+	}
+	return reply, nil
 }
 
 // Fetch reads newer texts from a peer.
 func (p *Peers) Fetch(ctx context.Context, to netip.AddrPort, f Fetch) (Document, error) {
 	var reply Document
-	err := p.mesh.Call(ctx, to, methodFetch, f, &reply)
-	return reply, err
+	if err := p.mesh.Call(ctx, to, methodFetch, f, &reply); err != nil {
+		return Document{}, err // the reply may still be written
+	}
+	return reply, nil
 }
