io/coord, io/edge: logs and metrics that tell late configurations apart

Cause: with the lines so far a late configuration could not be told from one that the host had heard of in time and could not fetch, nor either from a host whose event loop was behind; and nothing but a log line told who reads the store.

Change: "configuration in force" tells how long ago a peer first announced something newer (Behind), "reading of the store" the leader and the hosts known, "fetch unanswered" and "decisions are late" are new; gauges of the version in force, of reading and of waiting events.

Result: tests of io/coord and io/edge pass.

--- a/core/ring/calls.go
+++ b/core/ring/calls.go
@@ -74,6 +74,9 @@
 // Offer queues a task without blocking and reports whether there was room.
 func (l *EventLoop) Offer(task Task) bool { return l.tasks.Offer(task) }
 
+// Len returns the number of waiting tasks.
+func (l *EventLoop) Len() int { return l.tasks.Len() }
+
 // Refused returns the number of tasks that Offer rejected because the queue was full.
 func (l *EventLoop) Refused() uint64 { return l.tasks.Refused() }
 
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -34,6 +34,10 @@
 	// fetchTimeout is how long a fetch may stay unanswered before another peer is
 	// asked.
 	fetchTimeout = 400 * time.Millisecond
+	// backlogThreshold is the number of waiting events from which the event loop counts
+	// as late; the log tells of it at most once per backlogLogInterval.
+	backlogThreshold   = eventQueueSize / 8
+	backlogLogInterval = time.Second
 	// pauseThreshold is the gap between two iterations of the event loop from which
 	// the process counts as having been paused.
 	pauseThreshold = 600 * time.Millisecond
@@ -82,6 +86,7 @@
 	Roster       *roster.Snapshot     // never nil
 	KnownHosts   int                  // number of hosts in the system, as far as known
 	Ready        bool                 // config and targets are known and the host is not stopping
+	ReadsStore   bool                 // this host reads the store itself
 	Restrictions *notice.Restrictions // which targets this host must not use, from their notices
 }
 
@@ -124,17 +129,22 @@
 	lastBootTime  time.Duration
 	peersAhead    map[netip.AddrPort]time.Time // peers with newer state, and since when
 	// fetchedAt is when a peer was last asked; zero once it has answered.
-	fetchedAt       time.Time
-	encoded         []byte                  // the encoded configuration; nil until needed
-	clientHosts     map[netip.AddrPort]bool // hosts whose requests this host's broker holds
-	reading         bool                    // this host reads the store itself
-	storeUp         bool
-	storeReturnedAt time.Time // end of the store's last outage
-	storeWasUp      bool      // the store was reachable since this host began to read it
-	stopping        bool
-	restrictions    *notice.Restrictions // which targets this host must not use, from their notices
-	leavingNotices  []notice.Notice      // not yet sent to other hosts
-	departures      []roster.Departure   // read from the store, not yet sent to other hosts
+	fetchedAt   time.Time
+	fetchedFrom netip.AddrPort // the peer that was asked last
+	// configBehindSince is when a peer first announced a newer configuration; zero if
+	// none has.
+	configBehindSince time.Time
+	backlogLoggedAt   time.Time
+	encoded           []byte                  // the encoded configuration; nil until needed
+	clientHosts       map[netip.AddrPort]bool // hosts whose requests this host's broker holds
+	reading           bool                    // this host reads the store itself
+	storeUp           bool
+	storeReturnedAt   time.Time // end of the store's last outage
+	storeWasUp        bool      // the store was reachable since this host began to read it
+	stopping          bool
+	restrictions      *notice.Restrictions // which targets this host must not use, from their notices
+	leavingNotices    []notice.Notice      // not yet sent to other hosts
+	departures        []roster.Departure   // read from the store, not yet sent to other hosts
 }
 
 // process identifies one process of a host.
@@ -199,6 +209,7 @@
 }
 
 func (c *Coordinator) tick(now time.Time) {
+	c.logBacklog(now)
 	if c.mesh == nil {
 		return
 	}
@@ -214,6 +225,17 @@
 	c.broker.Tick(now)
 }
 
+// logBacklog logs that events wait longer than decisions should.
+func (c *Coordinator) logBacklog(now time.Time) {
+	if n := c.events.Len(); n >= backlogThreshold && now.Sub(c.backlogLoggedAt) >= backlogLogInterval {
+		c.backlogLoggedAt = now
+		c.settings.Log.Event("warn", "decisions are late", "Waiting", n, "Leads", c.leader == c.self())
+	}
+}
+
+// WaitingEvents returns the number of events that wait for the event loop.
+func (c *Coordinator) WaitingEvents() int { return c.events.Len() }
+
 // expireTargets drops targets whose entries lapsed while the store was unreachable and
 // have not come back since.
 func (c *Coordinator) expireTargets(now time.Time) {
@@ -266,6 +288,7 @@
 	c.view.Store(&View{
 		Config: c.config, Roster: c.roster.Snapshot(), KnownHosts: known,
 		Ready:        c.config != nil && c.hasListing && !c.stopping,
+		ReadsStore:   c.reading,
 		Restrictions: c.restrictions,
 	})
 }
--- a/io/coord/facts.go
+++ b/io/coord/facts.go
@@ -137,6 +137,9 @@
 	if c.hosts.Receive(now, m.Heartbeats...) {
 		c.updateLeader(now)
 	}
+	if m.Version > c.configVersion() && c.configBehindSince.IsZero() {
+		c.configBehindSince = now
+	}
 	if m.Version <= c.configVersion() && m.Revision <= c.rosterRevision() {
 		delete(c.peersAhead, from)
 		return
@@ -165,7 +168,10 @@
 	if !from.IsValid() {
 		return
 	}
-	c.fetchedAt = now
+	if !c.fetchedAt.IsZero() {
+		c.settings.Log.Event("info", "fetch unanswered", "From", c.fetchedFrom, "After", now.Sub(c.fetchedAt), "Version", c.configVersion())
+	}
+	c.fetchedAt, c.fetchedFrom = now, from
 	// If it does not answer within fetchTimeout, another peer is asked.
 	delete(c.peersAhead, from)
 	c.mesh.Send(from, methodFetch, FetchRequest{Version: c.configVersion(), Revision: c.rosterRevision()})
--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -14,7 +14,13 @@
 	if c.config != nil && config.Version <= c.config.Version {
 		return
 	}
-	c.settings.Log.Event("info", "configuration in force", "Version", config.Version, "Former", c.configVersion(), "Source", source, "Routes", len(config.Routes))
+	var behind time.Duration
+	if !c.configBehindSince.IsZero() {
+		behind = now.Sub(c.configBehindSince)
+		c.configBehindSince = time.Time{}
+	}
+	c.settings.Log.Event("info", "configuration in force", "Version", config.Version, "Former", c.configVersion(), "Source", source,
+		"Routes", len(config.Routes), "Behind", behind)
 	c.config, c.encoded = config, nil
 	c.broker.SetConfig(now, config)
 	c.publish()
@@ -37,8 +43,10 @@
 	}
 	c.reading = on
 	c.storeWasUp = c.storeWasUp && on
-	c.settings.Log.Event("info", "reading of the store", "On", on)
+	alive, known := c.hosts.Counts(now)
+	c.settings.Log.Event("info", "reading of the store", "On", on, "Leader", c.leader, "Alive", alive, "Known", known)
 	c.settings.SetReading(on)
+	c.publish()
 	if !on {
 		c.hosts.StopReading(now)
 	}
--- a/io/edge/counts.go
+++ b/io/edge/counts.go
@@ -12,6 +12,7 @@
 
 	"yuccadoor/core/broker"
 	"yuccadoor/core/burn"
+	"yuccadoor/io/coord"
 	"yuccadoor/io/gate"
 )
 
@@ -120,6 +121,24 @@
 	})
 }
 
+// registerCoordGauges registers gauges for the configuration in force, for whether the host
+// reads the store, and for the events that wait for its decisions.
+func (m *hostMetrics) registerCoordGauges(view func() *coord.View, waitingEvents func() int) {
+	m.set.NewGauge("yuccadoor_configuration_version", func() float64 {
+		if config := view().Config; config != nil {
+			return float64(config.Version)
+		}
+		return 0
+	})
+	m.set.NewGauge("yuccadoor_reads_store", func() float64 {
+		if view().ReadsStore {
+			return 1
+		}
+		return 0
+	})
+	m.set.NewGauge("yuccadoor_waiting_events", func() float64 { return float64(waitingEvents()) })
+}
+
 // RecordCrashStep implements coord.Counters.
 func (m *hostMetrics) RecordCrashStep(step broker.CrashStep) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yuccadoor_crash_suspicions_total{step=%q}`, step)).Inc()
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -179,6 +179,7 @@
 		},
 	})
 	h.coord = c
+	m.registerCoordGauges(c.View, c.WaitingEvents)
 	return c, cleanup, nil
 }
 
