--- a/core/hosts/hosts_test.go
+++ b/core/hosts/hosts_test.go
@@ -224,6 +224,29 @@
 	assert.Equal(t, n, 4)
 }
 
+// Regression test: in a large fleet a host counted as alive, and so as a reader, for
+// minutes after its last heartbeat. A frozen host keeps its connections.
+func TestFrozenReadersAreReplacedInALargeFleet(t *testing.T) {
+	f := newFleet(295)
+	f.run(10 * time.Second)
+	readers := func() (n int) {
+		for a, h := range f.hosts {
+			if h.IsReader(f.now) && !f.down[a] {
+				n++
+			}
+		}
+		return n
+	}
+	for a, h := range f.hosts {
+		if h.IsReader(f.now) {
+			f.down[a] = true
+		}
+	}
+	const maxConfigDelay = 4 * time.Second
+	f.run(maxConfigDelay)
+	assert.Assert(t, readers() > 0, "no host reads the store %s after all readers froze", maxConfigDelay)
+}
+
 // While the store is unreachable every reader fails, and each failure selects another
 // reader. The first readers must stay the same, and the others must retry only after
 // readFailureTimeout.
--- /dev/null
+++ b/io/coord/fleet_test.go
@@ -0,0 +1,257 @@
+package coord
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"yuccadoor/core/quota"
+	"yuccadoor/core/roster"
+	"yuccadoor/core/routes"
+	"yuccadoor/io/logs"
+)
+
+// Properties of a simulated fleet.
+const (
+	fleetZones     = 5
+	fleetSeeds     = 3
+	bigHostEvery   = 20 // every so many hosts, one has the larger CPU share
+	bigCPUShare    = 80
+	smallCPUShare  = 19
+	networkDelay   = 1500 * time.Microsecond
+	connectFailure = 400 * time.Millisecond // until a host without power is given up
+	breakDetection = 900 * time.Millisecond // until unacknowledged data breaks a connection
+	storeDelay     = 10 * time.Millisecond
+	// storeSilence is how long a reader takes to find that a store does not respond:
+	// its watch and then a new connection time out.
+	storeSilence = 2200 * time.Millisecond
+	// maxConfigDelay is the time within which a published configuration must be in
+	// force on all hosts.
+	maxConfigDelay = 4 * time.Second
+)
+
+// fleet is a large deployment in the virtual time of a synctest bubble: hosts, the
+// network between them, and the store.
+type fleet struct {
+	t       *testing.T
+	seeds   []netip.AddrPort
+	reading sync.WaitGroup // readers of the store
+
+	mu        sync.Mutex
+	hosts     []*fleetHost           // guarded by mu
+	byAddress map[netip.AddrPort]int // guarded by mu
+	links     map[linkKey]*fleetLink // guarded by mu
+	config    *routes.Config         // guarded by mu; the published one
+}
+
+// fleetHost is one host of a fleet; its fields are guarded by fleet.mu.
+type fleetHost struct {
+	*Coordinator
+	stop    func()
+	dark    bool // without power: neither receives nor sends
+	noStore bool // the store does not respond to it
+	reading bool
+}
+
+type linkKey struct{ from, to netip.AddrPort }
+
+// fleetLink is the connection of one host to another.
+type fleetLink struct{ open, failing bool }
+
+func fleetAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n % fleetZones), byte(n >> 8), byte(n)}), 7600)
+}
+
+// startFleet starts count hosts at the same time.
+func startFleet(t *testing.T, count int) *fleet {
+	f := &fleet{t: t, hosts: make([]*fleetHost, count), byAddress: map[netip.AddrPort]int{}, links: map[linkKey]*fleetLink{}}
+	for n := range fleetSeeds {
+		f.seeds = append(f.seeds, fleetAddress(n))
+	}
+	f.publish(1)
+	for n := range count {
+		f.start(n)
+	}
+	t.Cleanup(f.stop)
+	return f
+}
+
+func (f *fleet) start(n int) {
+	log, err := logs.New(io.Discard, "error")
+	assert.NilError(f.t, err)
+	share := smallCPUShare
+	if n%bigHostEvery == 0 {
+		share = bigCPUShare
+	}
+	h := &fleetHost{}
+	h.Coordinator, h.stop = New(f.t.Context(), Settings{
+		Self: fleetAddress(n), Zone: fmt.Sprint("zone-", n%fleetZones), Incarnation: uint64(n + 1), CPUShare: share, Seeds: f.seeds,
+		Log: log, Now: time.Now, BootTime: func() time.Duration { return 0 }, Tolerance: quota.Tolerance{Window: 8 * time.Second},
+		SetReading: func(on bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if h.reading = on; on {
+				f.reading.Go(func() { f.read(h) })
+			}
+		},
+	})
+	f.mu.Lock()
+	f.hosts[n], f.byAddress[fleetAddress(n)] = h, n
+	f.mu.Unlock()
+	assert.NilError(f.t, h.Attach(f.t.Context(), fleetEndpoint{f, fleetAddress(n)}))
+}
+
+func (f *fleet) stop() {
+	for _, h := range f.hosts {
+		h.stop()
+	}
+	f.set(f.hosts, func(h *fleetHost) { h.reading = false })
+	f.reading.Wait()
+}
+
+// publish publishes a version of the configuration.
+func (f *fleet) publish(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.config = &routes.Config{Version: version, Services: []routes.Service{{Name: "lm", Engine: true, Slots: 4}}}
+}
+
+// read plays the reader of the store on one host while reading is switched on.
+func (f *fleet) read(h *fleetHost) {
+	var config *routes.Config // the last one that was read
+	responded := time.Now()
+	for ; ; time.Sleep(storeDelay) {
+		f.mu.Lock()
+		reading, reached, published := h.reading, !h.noStore && !h.dark, f.config
+		f.mu.Unlock()
+		switch {
+		case !reading:
+			return
+		case !reached:
+			if time.Since(responded) >= storeSilence {
+				h.FeedStoreState(false, nil)
+			}
+			continue
+		case config == nil:
+			h.FeedListing(1, []roster.Target{{ID: "t0", Service: "lm", Address: netip.MustParseAddrPort("10.9.0.1:1"), Slots: 4, Revision: 1}}, nil)
+		}
+		if config != published {
+			config = published
+			h.FeedConfig(config)
+		}
+		h.FeedStoreState(true, nil)
+		responded = time.Now()
+	}
+}
+
+// readers returns the hosts that read the store.
+func (f *fleet) readers() []*fleetHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var readers []*fleetHost
+	for _, h := range f.hosts {
+		if h.reading {
+			readers = append(readers, h)
+		}
+	}
+	return readers
+}
+
+// set changes properties of hosts.
+func (f *fleet) set(hosts []*fleetHost, change func(h *fleetHost)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range hosts {
+		change(h)
+	}
+}
+
+// awaitVersion waits until a version is in force on all hosts but the excluded ones, and
+// returns the number of hosts that still lack it after maxConfigDelay.
+func (f *fleet) awaitVersion(version uint64, excluded []*fleetHost) (missing int) {
+	for end := time.Now().Add(maxConfigDelay); time.Now().Before(end); time.Sleep(storeDelay) {
+		missing = 0
+		for _, h := range f.hosts {
+			if v := h.View(); !slices.Contains(excluded, h) && (v.Config == nil || v.Config.Version < version) {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return 0
+		}
+	}
+	return missing
+}
+
+// fleetEndpoint is the Mesh of one host.
+type fleetEndpoint struct {
+	fleet *fleet
+	self  netip.AddrPort
+}
+
+// Send implements Mesh. What is sent to or by a dark host is lost, and the sender's
+// connection breaks after a while.
+func (e fleetEndpoint) Send(to netip.AddrPort, method string, params any) {
+	text, err := json.Marshal(params)
+	assert.NilError(e.fleet.t, err)
+	f := e.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sender, receiver := f.hosts[f.byAddress[e.self]], f.hosts[f.byAddress[to]]
+	link := f.links[linkKey{e.self, to}]
+	if link == nil {
+		link = &fleetLink{}
+		f.links[linkKey{e.self, to}] = link
+	}
+	if !sender.dark && !receiver.dark {
+		link.open = true
+		time.AfterFunc(networkDelay, func() { receiver.Receive(e.self, method, text) })
+		return
+	}
+	if link.failing {
+		return
+	}
+	timeout := connectFailure
+	if link.open {
+		timeout = breakDetection
+	}
+	link.open, link.failing = false, true
+	time.AfterFunc(timeout, func() {
+		f.mu.Lock()
+		link.failing = false
+		f.mu.Unlock()
+		sender.MessagesLost(to)
+	})
+}
+
+// Regression test: hosts heard by gossip only that all readers of the store were lost,
+// so no other host read it for longer than a configuration may take.
+func TestConfigurationIsInForceAlthoughAllReadersAreLost(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(h *fleetHost)
+	}{
+		{"the store does not respond to them", func(h *fleetHost) { h.noStore = true }},
+		{"they lose power", func(h *fleetHost) { h.dark = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, 295)
+				time.Sleep(15 * time.Second)
+				lost := f.readers()
+				f.set(lost, c.lose)
+				f.publish(2)
+				missing := f.awaitVersion(2, lost)
+				assert.Equal(t, missing, 0, "hosts without the configuration after %s, of %d; %d readers were lost", maxConfigDelay, len(f.hosts), len(lost))
+			})
+		})
+	}
+}
