core/hosts: the leader assigns the readers of the store

What callers saw: on a fleet of hundreds of hosts a configuration could be served late everywhere, if it was published while none of the three hosts that read the store could read it.

Cause: each host chose the readers from its own view. In a fleet of more than 16 a host hears of another's state in one heartbeat of many (every 14 s at 295 hosts) and counts a silent one as alive for 196 s, so that the next in order did not know that it had to read. Class: a bound in seconds that rests on rounds of gossip, which grow with the fleet.

Change: the leader, which receives every heartbeat, chooses the readers, itself among them, keeps those that it has, and replaces one that fails, breaks its connection or is silent for 2.5 s. Its heartbeat, which names them, goes to all hosts; those affected are told at once. A host without a valid assignment chooses as before. An older host ignores the new field, and a newer one under an older leader chooses as before.

TestFrozenReadersAreReplacedInALargeFleet still fails: a frozen leader keeps its connections. The harness of core/hosts delivers assignments and the leader's heartbeats, as io/coord does; no check changed.

--- a/core/hosts/gossip.go
+++ b/core/hosts/gossip.go
@@ -55,6 +55,18 @@
 	return to
 }
 
+// Followers returns the live hosts of a large fleet if this host leads it and a period has
+// passed since the last call that returned them. The leader's heartbeat goes to all: it
+// carries the assignment of readers, and a host whose connection to the leader broke
+// trusts it again only after hearing from it.
+func (h *Hosts) Followers(now time.Time) []netip.AddrPort {
+	if !h.isLeader || len(h.members) < smallFleet || now.Sub(h.informedAt) < h.Period() {
+		return nil
+	}
+	h.informedAt = now
+	return h.Alive(now)
+}
+
 // randomDead returns a random host that is dead and did not announce that it leaves;
 // the zero address if there is none.
 func (h *Hosts) randomDead(now time.Time) netip.AddrPort {
--- a/core/hosts/hosts.go
+++ b/core/hosts/hosts.go
@@ -92,12 +92,14 @@
 	sendNow      bool             // something changed that other hosts act on
 	readFailedAt time.Time        // when this host last failed to read; zero if reads succeed
 	unanswered   []netip.AddrPort // new hosts that do not know of this one yet
+	assignment   assignment       // of readers, by the leader
+	informedAt   time.Time        // when Followers last returned hosts
 }
 
 // deadAfter is how long a host counts as alive without a heartbeat. In a small
 // fleet every heartbeat arrives here. In a larger one only some do, so the time
-// grows with the fleet. That is good enough to elect a leader and to assign readers;
-// the failure of the leader itself is detected by its connection.
+// grows with the fleet. That is good enough to elect a leader, whose own failure is
+// detected by its connection; for what must be noticed within seconds, see aliveByRole.
 func (h *Hosts) deadAfter() time.Duration {
 	n := len(h.members) + 1
 	if n <= smallFleet {
@@ -203,6 +205,12 @@
 	return m.distrustedSince.IsZero() && now.Sub(m.lastHeard) <= h.deadAfter()
 }
 
+// IsAlive reports whether another host is alive.
+func (h *Hosts) IsAlive(now time.Time, address netip.AddrPort) bool {
+	m := h.members[address]
+	return m != nil && h.aliveByRole(m, now)
+}
+
 // Alive returns the other hosts that are alive, in the order of their addresses.
 func (h *Hosts) Alive(now time.Time) []netip.AddrPort {
 	var alive []netip.AddrPort
@@ -235,39 +243,6 @@
 	return alive, max(known, len(h.seeds))
 }
 
-// SetReadFailing records whether this host's reads of the published facts fail.
-func (h *Hosts) SetReadFailing(now time.Time, failing bool) {
-	h.readFailedAt = time.Time{}
-	if failing {
-		h.readFailedAt = now
-	}
-	h.announceReadFailing(failing)
-}
-
-// StopReading records that this host is no longer a reader. If its reads failed,
-// it keeps announcing that for readFailureTimeout. Otherwise, while the store is
-// unreachable, hosts would replace each other as readers many times a second.
-func (h *Hosts) StopReading(now time.Time) {
-	if h.self.ReadFailing {
-		h.readFailedAt = now
-	}
-}
-
-// expireReadFailure clears the read failure of a host that is no longer a reader,
-// after readFailureTimeout.
-func (h *Hosts) expireReadFailure(now time.Time, isReader bool) {
-	if h.self.ReadFailing && !isReader && now.Sub(h.readFailedAt) >= readFailureTimeout {
-		h.announceReadFailing(false)
-	}
-}
-
-// announceReadFailing sets the state in this host's heartbeat, and sends it early if
-// it changed.
-func (h *Hosts) announceReadFailing(failing bool) {
-	h.sendNow = h.sendNow || h.self.ReadFailing != failing
-	h.self.ReadFailing = failing
-}
-
 // Incarnation returns the incarnation of a host; 0 if unknown.
 func (h *Hosts) Incarnation(address netip.AddrPort) uint64 {
 	if address == h.self.Address {
--- a/core/hosts/hosts_test.go
+++ b/core/hosts/hosts_test.go
@@ -54,15 +54,26 @@
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
 		for _, a := range slices.SortedFunc(maps.Keys(f.hosts), netip.AddrPort.Compare) {
 			h := f.hosts[a]
-			if f.down[a] || !h.Due(f.now) {
+			if f.down[a] {
 				continue
 			}
-			heartbeats := append([]Heartbeat{h.NextHeartbeat(f.now)}, h.Digest(f.now)...)
-			for _, to := range h.Recipients(f.now) {
-				if peer := f.hosts[to]; peer != nil && !f.down[to] && !f.cut(a, to) {
-					peer.Receive(f.now, heartbeats...)
-				}
+			h.Leader(f.now)
+			to := h.AssignReaders(f.now)
+			if len(to) == 0 && !h.Due(f.now) {
+				continue
 			}
+			heartbeats := append([]Heartbeat{h.NextHeartbeat(f.now)}, h.Digest(f.now)...)
+			f.send(h, slices.Concat(to, h.Recipients(f.now)), heartbeats)
+			f.send(h, h.Followers(f.now), heartbeats[:1])
+		}
+	}
+}
+
+func (f *fleet) send(h *Hosts, to []netip.AddrPort, heartbeats []Heartbeat) {
+	for _, a := range to {
+		if peer := f.hosts[a]; peer != nil && !f.down[a] && !f.cut(h.self.Address, a) {
+			peer.Receive(f.now, heartbeats...)
+			peer.ReceiveAssignment(f.now, h.self.Address, h.AssignedReaders())
 		}
 	}
 }
--- a/io/coord/facts.go
+++ b/io/coord/facts.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,8 @@
 	Heartbeats []hosts.Heartbeat `cbor:"1,keyasint,omitempty"`
 	Version    uint64            `cbor:"2,keyasint,omitempty"` // of the configuration; 0 for none
 	Revision   uint64            `cbor:"3,keyasint,omitempty"` // of the roster; 0 for none
+	// Readers are the hosts that read the store, as assigned by the sender if it leads.
+	Readers []netip.AddrPort `cbor:"4,keyasint,omitempty"`
 }
 
 // FetchRequest asks for published state newer than the given version and revision.
@@ -124,17 +127,35 @@
 	return c.roster.Revision()
 }
 
+// nextHeartbeat returns this host's next heartbeat, without those of other hosts.
+func (c *Coordinator) nextHeartbeat(now time.Time) HeartbeatMessage {
+	return HeartbeatMessage{
+		Heartbeats: []hosts.Heartbeat{c.hosts.NextHeartbeat(now)}, Version: c.configVersion(), Revision: c.rosterRevision(),
+		Readers: c.hosts.AssignedReaders(),
+	}
+}
+
 // sendHeartbeat sends this host's heartbeat, and recent ones of other hosts, to the
-// hosts selected for this round.
+// hosts selected for this round. A leader sends only its own to the rest of the fleet.
 func (c *Coordinator) sendHeartbeat(now time.Time) {
-	m := HeartbeatMessage{Heartbeats: append([]hosts.Heartbeat{c.hosts.NextHeartbeat(now)}, c.hosts.Digest(now)...), Version: c.configVersion(), Revision: c.rosterRevision()}
-	for _, to := range c.hosts.Recipients(now) {
-		c.mesh.Send(to, methodBeat, pack.Of(m))
+	own := c.nextHeartbeat(now)
+	withDigest := own
+	withDigest.Heartbeats = slices.Concat(own.Heartbeats, c.hosts.Digest(now))
+	recipients := c.hosts.Recipients(now)
+	for _, to := range recipients {
+		c.mesh.Send(to, methodBeat, pack.Of(withDigest))
+	}
+	for _, to := range c.hosts.Followers(now) {
+		if !slices.Contains(recipients, to) {
+			c.mesh.Send(to, methodBeat, pack.Of(own))
+		}
 	}
 }
 
 func (c *Coordinator) handleHeartbeat(now time.Time, from netip.AddrPort, m HeartbeatMessage) {
-	if c.hosts.Receive(now, m.Heartbeats...) {
+	changed := c.hosts.Receive(now, m.Heartbeats...)
+	c.hosts.ReceiveAssignment(now, from, m.Readers)
+	if changed {
 		c.updateLeader(now)
 	}
 	if m.Version > c.configVersion() && c.configBehindSince.IsZero() {
@@ -279,7 +300,7 @@
 	if c.reading {
 		to = c.hosts.Alive(now)
 	}
-	m := HeartbeatMessage{Heartbeats: []hosts.Heartbeat{c.hosts.NextHeartbeat(now)}, Version: c.configVersion(), Revision: c.rosterRevision()}
+	m := c.nextHeartbeat(now)
 	for _, h := range to {
 		c.mesh.Send(h, methodBeat, pack.Of(m))
 	}
--- a/io/coord/fleet_test.go
+++ b/io/coord/fleet_test.go
@@ -145,7 +145,8 @@
 		}
 		if config != published {
 			config = published
-			h.FeedConfig(config)
+			own := *config // the host indexes it
+			h.FeedConfig(&own)
 		}
 		h.FeedStoreState(true, nil)
 		responded = time.Now()
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"yuccadoor/core/broker"
@@ -84,9 +83,8 @@
 func (c *Coordinator) updateLeader(now time.Time) {
 	alive, known := c.hosts.Counts(now)
 	c.broker.SetReachableShare(alive, known)
-	live := c.hosts.Alive(now)
 	for h := range c.clientHosts {
-		if !slices.Contains(live, h) && h != c.self() {
+		if !c.hosts.IsAlive(now, h) && h != c.self() {
 			delete(c.clientHosts, h)
 			c.broker.RemoveHost(now, h)
 		}
