core/hosts: a leader that falls silent is no longer followed

What callers saw: on a fleet of more than 16 hosts a frozen leader went on being asked, since its kernel acknowledges what is sent to it; requests waited until it ran again or their time was over.

Cause: only its connection told that a leader had failed, and heartbeats count for minutes there.

A host that was paused itself first waits for a heartbeat.

--- a/core/hosts/duties.go
+++ b/core/hosts/duties.go
@@ -14,6 +14,10 @@
 // lead before it has heard from others. If all hosts are leaving, this host leads.
 func (h *Hosts) Leader(now time.Time) (netip.AddrPort, bool) {
 	leader, ok := h.leader(now)
+	if ok && h.isSilent(now, leader) {
+		h.ConnectionLost(now, leader)
+		leader, ok = h.leader(now)
+	}
 	h.isLeader = ok && leader == h.self.Address
 	return leader, ok
 }
--- a/core/hosts/hosts_test.go
+++ b/core/hosts/hosts_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 )
 
@@ -194,6 +195,23 @@
 	assert.Equal(t, leader, former)
 }
 
+// Regression test: in a large fleet a frozen leader was followed for minutes, since its
+// connections held.
+func TestFrozenLeaderIsReplacedInALargeFleet(t *testing.T) {
+	f := newFleet(100)
+	f.run(10 * time.Second)
+	former := f.leaders()[0]
+	f.down[former] = true
+	f.run(4 * time.Second)
+	now := f.leaders()
+	assert.Equal(t, len(now), 1)
+	assert.Assert(t, now[0] != former)
+	delete(f.down, former)
+	f.hosts[former].Resume(f.now)
+	f.run(distrustPeriod + 2*largePeriod)
+	assert.DeepEqual(t, f.leaders(), []netip.AddrPort{former}, cmpopts.EquateComparable(netip.AddrPort{}))
+}
+
 func TestAddedHostsAreDiscovered(t *testing.T) {
 	f := newFleet(8)
 	f.run(2 * time.Second)
--- a/core/hosts/readers.go
+++ b/core/hosts/readers.go
@@ -25,7 +25,7 @@
 	// leaves time to read and spread a configuration within 4 s.
 	maxReaderSilence = 2500 * time.Millisecond
 	// assignmentTimeout is how long an assignment is valid without being repeated in a
-	// heartbeat of the leader: three periods of a large fleet.
+	// heartbeat of the leader, and the leader trusted: three periods of a large fleet.
 	assignmentTimeout = 3 * time.Second
 	// minAssignmentInterval is the time between two changes of the assignment. While
 	// the store refuses all hosts, each change adds readers that fail at once.
@@ -35,8 +35,9 @@
 // assignment is a leader's choice of the hosts that read the store.
 type assignment struct {
 	readers   []netip.AddrPort
-	confirmed time.Time // when the leader last chose or repeated it
-	changed   time.Time // when this host, as the leader, last changed it
+	by        netip.AddrPort // the leader
+	confirmed time.Time      // when the leader last chose or repeated it
+	changed   time.Time      // when this host, as the leader, last changed it
 }
 
 func (a *assignment) valid(now time.Time) bool {
@@ -51,7 +52,7 @@
 	if !h.isLeader {
 		return nil
 	}
-	h.assignment.confirmed = now
+	h.assignment.by, h.assignment.confirmed = h.self.Address, now
 	if now.Sub(h.assignment.changed) < minAssignmentInterval {
 		return nil
 	}
@@ -75,10 +76,24 @@
 	return h.assignment.readers
 }
 
+// isSilent reports whether the leader has stopped repeating its assignment. Its
+// connection does not tell if its process is stopped.
+func (h *Hosts) isSilent(now time.Time, leader netip.AddrPort) bool {
+	return leader != h.self.Address && leader == h.assignment.by && !h.assignment.valid(now)
+}
+
+// Resume records that this process was paused, so that what it did not hear meanwhile
+// says nothing about the leader.
+func (h *Hosts) Resume(now time.Time) {
+	if !h.assignment.confirmed.IsZero() {
+		h.assignment.confirmed = now
+	}
+}
+
 // ReceiveAssignment records the readers that a host has assigned, if it is the leader.
 func (h *Hosts) ReceiveAssignment(now time.Time, from netip.AddrPort, readers []netip.AddrPort) {
 	if leader, ok := h.leader(now); ok && leader == from && from != h.self.Address && len(readers) > 0 {
-		h.assignment = assignment{readers: readers, confirmed: now}
+		h.assignment = assignment{readers: readers, by: from, confirmed: now}
 	}
 }
 
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -203,6 +203,7 @@
 	}
 	c.settings.Log.Event("warn", "process was paused", "Length", gap)
 	c.synced = false
+	c.hosts.Resume(now)
 	if c.settings.OnPause != nil {
 		c.settings.OnPause()
 	}
--- a/io/coord/facts.go
+++ b/io/coord/facts.go
@@ -154,7 +154,7 @@
 
 func (c *Coordinator) handleHeartbeat(now time.Time, from netip.AddrPort, m HeartbeatMessage) {
 	changed := c.hosts.Receive(now, m.Heartbeats...)
-	c.hosts.ReceiveAssignment(now, from, m.Readers)
+	c.hosts.ReceiveAssignment(now, from, m.Readers) // before updateLeader, which distrusts a silent leader
 	if changed {
 		c.updateLeader(now)
 	}
