core/hosts: a change of readers does not postpone the leader's heartbeat

Cause: those affected were told by a heartbeat of their own, which reset the time of the next regular one. While the store refuses all hosts the readers change every half second, so that no regular heartbeat was sent, and after 3 s hosts took their leader for silent.

Change: a regular heartbeat goes out at once, to those affected too.

Evidence: TestLeaderIsFollowedWhileTheStoreRefusesAllHosts failed before (40 of 60 hosts followed another leader 3 s after the refusals began) and passes now.

--- a/core/hosts/gossip.go
+++ b/core/hosts/gossip.go
@@ -47,6 +47,12 @@
 		}
 	}
 	h.unanswered = h.unanswered[n:]
+	for _, a := range h.reassigned {
+		if !slices.Contains(to, a) {
+			to = append(to, a)
+		}
+	}
+	h.reassigned = nil
 	// After a partition heals, a dead host may be reachable again without any seed
 	// knowing of it.
 	if dead := h.randomDead(now); dead.IsValid() && !slices.Contains(to, dead) {
--- a/core/hosts/hosts.go
+++ b/core/hosts/hosts.go
@@ -93,6 +93,7 @@
 	readFailedAt time.Time        // when this host last failed to read; zero if reads succeed
 	unanswered   []netip.AddrPort // new hosts that do not know of this one yet
 	assignment   assignment       // of readers, by the leader
+	reassigned   []netip.AddrPort // hosts to be told that they became readers or ceased to be
 	informedAt   time.Time        // when Followers last returned hosts
 }
 
--- a/core/hosts/hosts_test.go
+++ b/core/hosts/hosts_test.go
@@ -59,12 +59,12 @@
 				continue
 			}
 			h.Leader(f.now)
-			to := h.AssignReaders(f.now)
-			if len(to) == 0 && !h.Due(f.now) {
+			h.AssignReaders(f.now)
+			if !h.Due(f.now) {
 				continue
 			}
 			heartbeats := append([]Heartbeat{h.NextHeartbeat(f.now)}, h.Digest(f.now)...)
-			f.send(h, slices.Concat(to, h.Recipients(f.now)), heartbeats)
+			f.send(h, h.Recipients(f.now), heartbeats)
 			f.send(h, h.Followers(f.now), heartbeats[:1])
 		}
 	}
--- a/core/hosts/readers.go
+++ b/core/hosts/readers.go
@@ -44,28 +44,30 @@
 	return !a.confirmed.IsZero() && now.Sub(a.confirmed) <= assignmentTimeout
 }
 
-// AssignReaders chooses the readers if this host leads, and returns the other hosts that
-// became readers or ceased to be. The leader decides, since it receives every heartbeat:
-// in a large fleet other hosts learn too late that a reader has failed. Callers call it
-// periodically, after Leader.
-func (h *Hosts) AssignReaders(now time.Time) (affected []netip.AddrPort) {
+// AssignReaders chooses the readers if this host leads, and reports whether they changed.
+// The next heartbeat is then due at once, and goes to the hosts affected. The leader
+// decides, since it receives every heartbeat: in a large fleet other hosts learn too late
+// that a reader has failed. Callers call it periodically, after Leader.
+func (h *Hosts) AssignReaders(now time.Time) bool {
 	if !h.isLeader {
-		return nil
+		return false
 	}
 	h.assignment.by, h.assignment.confirmed = h.self.Address, now
 	if now.Sub(h.assignment.changed) < minAssignmentInterval {
-		return nil
+		return false
 	}
 	former, readers := h.assignment.readers, h.chooseReaders(now)
+	if slices.Equal(former, readers) {
+		return false
+	}
 	for _, a := range slices.Concat(former, readers) {
 		if slices.Contains(former, a) != slices.Contains(readers, a) && a != h.self.Address {
-			affected = append(affected, a)
+			h.reassigned = append(h.reassigned, a)
 		}
 	}
-	if !slices.Equal(former, readers) {
-		h.assignment.readers, h.assignment.changed = readers, now
-	}
-	return affected
+	h.assignment.readers, h.assignment.changed = readers, now
+	h.sendNow = true
+	return true
 }
 
 // AssignedReaders returns the readers that this host has assigned; none unless it leads.
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -214,14 +214,14 @@
 	if c.mesh == nil {
 		return
 	}
-	if c.hosts.Due(now) {
-		c.sendHeartbeat(now)
-	}
 	if c.storeUp && !c.storeReturnedAt.IsZero() {
 		c.expireTargets(now)
 	}
 	c.updateLeader(now)
 	c.updateReading(now)
+	if c.hosts.Due(now) {
+		c.sendHeartbeat(now)
+	}
 	c.fetchFromPeer(now)
 	c.broker.Tick(now)
 }
--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -37,12 +37,8 @@
 // updateReading assigns the readers if this host leads, and starts or stops reading the
 // store, depending on whether this host is one of them.
 func (c *Coordinator) updateReading(now time.Time) {
-	if affected := c.hosts.AssignReaders(now); len(affected) > 0 {
+	if c.hosts.AssignReaders(now) {
 		c.settings.Log.Event("info", "readers assigned", "Readers", c.hosts.AssignedReaders())
-		m := c.nextHeartbeat(now)
-		for _, h := range affected {
-			c.mesh.Send(h, methodBeat, pack.Of(m))
-		}
 	}
 	on := c.hosts.IsReader(now)
 	if on == c.reading || c.settings.SetReading == nil {
--- a/io/coord/fleet_test.go
+++ b/io/coord/fleet_test.go
@@ -58,6 +58,7 @@
 	stop    func()
 	dark    bool // without power: neither receives nor sends
 	noStore bool // the store does not respond to it
+	refused bool // the store refuses it at once
 	reading bool
 }
 
@@ -130,11 +131,14 @@
 	responded := time.Now()
 	for ; ; time.Sleep(storeDelay) {
 		f.mu.Lock()
-		reading, reached, published := h.reading, !h.noStore && !h.dark, f.config
+		reading, refused, reached, published := h.reading, h.refused, !h.noStore && !h.dark, f.config
 		f.mu.Unlock()
 		switch {
 		case !reading:
 			return
+		case refused:
+			h.FeedStoreState(false, nil)
+			continue
 		case !reached:
 			if time.Since(responded) >= storeSilence {
 				h.FeedStoreState(false, nil)
@@ -256,3 +260,20 @@
 		})
 	}
 }
+
+// Regression test: while the store refuses all hosts, the readers change all the time. Each
+// change postponed the leader's heartbeat, and hosts took the leader for silent.
+func TestLeaderIsFollowedWhileTheStoreRefusesAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 60)
+		time.Sleep(10 * time.Second)
+		leader := leaderOf(t, f.hosts[0].Coordinator)
+		f.set(f.hosts, func(h *fleetHost) { h.refused = true })
+		for range 40 {
+			time.Sleep(200 * time.Millisecond)
+			for _, h := range f.hosts {
+				assert.Equal(t, leaderOf(t, h.Coordinator), leader)
+			}
+		}
+	})
+}
