--- a/io/coord/fleet_test.go
+++ b/io/coord/fleet_test.go
@@ -26,6 +26,9 @@
 	bigHostEvery   = 20 // every so many hosts, one has the larger CPU share
 	bigCPUShare    = 80
 	smallCPUShare  = 19
+	bigHostLead    = 30 * time.Millisecond // by which the processes of big hosts start sooner
+	bigHostSpread  = time.Millisecond      // between two starts of big hosts
+	startSpread    = 50 * time.Millisecond // between the first and the last of the others
 	networkDelay   = 1500 * time.Microsecond
 	connectFailure = 400 * time.Millisecond // until a host without power is given up
 	breakDetection = 900 * time.Millisecond // until unacknowledged data breaks a connection
@@ -71,15 +74,23 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n % fleetZones), byte(n >> 8), byte(n)}), 7600)
 }
 
-// startFleet starts count hosts at the same time.
+// startFleet starts count hosts, the big ones first and the seeds as the last of them.
 func startFleet(t *testing.T, count int) *fleet {
 	f := &fleet{t: t, hosts: make([]*fleetHost, count), byAddress: map[netip.AddrPort]int{}, links: map[linkKey]*fleetLink{}}
 	for n := range fleetSeeds {
-		f.seeds = append(f.seeds, fleetAddress(n))
+		f.seeds = append(f.seeds, fleetAddress(((count-1)/bigHostEvery-n)*bigHostEvery))
 	}
 	f.publish(1)
-	for n := range count {
+	for n := 0; n < count; n += bigHostEvery {
 		f.start(n)
+		time.Sleep(bigHostSpread)
+	}
+	time.Sleep(bigHostLead)
+	for n := range count {
+		if n%bigHostEvery != 0 {
+			f.start(n)
+			time.Sleep(startSpread / time.Duration(count))
+		}
 	}
 	t.Cleanup(f.stop)
 	return f
@@ -210,7 +221,12 @@
 	f := e.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	sender, receiver := f.hosts[f.byAddress[e.self]], f.hosts[f.byAddress[to]]
+	sender := f.hosts[f.byAddress[e.self]]
+	if _, started := f.byAddress[to]; !started {
+		time.AfterFunc(networkDelay, func() { sender.MessagesLost(to) })
+		return
+	}
+	receiver := f.hosts[f.byAddress[to]]
 	link := f.links[linkKey{e.self, to}]
 	if link == nil {
 		link = &fleetLink{}
@@ -261,6 +277,21 @@
 	}
 }
 
+// Regression test: the seeds answered a new host once, when they knew few others
+// themselves; it then heard from nobody for many seconds and led itself.
+func TestHostsThatStartTogetherFollowOneLeader(t *testing.T) {
+	const maxStartTime = 5 * time.Second // from then on a host must keep all bounds
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 295)
+		time.Sleep(maxStartTime)
+		followers := map[netip.AddrPort]int{}
+		for _, h := range f.hosts {
+			followers[leaderOf(t, h.Coordinator)]++
+		}
+		assert.Equal(t, len(followers), 1, "hosts by the leader that they follow: %v", followers)
+	})
+}
+
 // Regression test: while the store refuses all hosts, the readers change all the time. Each
 // change postponed the leader's heartbeat, and hosts took the leader for silent.
 func TestLeaderIsFollowedWhileTheStoreRefusesAllHosts(t *testing.T) {
