core/hosts: a host that knows few others is answered until it knows enough

What callers saw: after all hosts of a large fleet had restarted, some led themselves for many seconds, and shared out targets and allowances on their own.

Cause: a seed answered a host's first heartbeat only, and while it knew fewer than 16 hosts itself, three of four answers named no other host. Hosts that reached all seeds at that moment knew the seeds alone, which write to a host of a large fleet at random, once in many seconds. Strong hosts start soonest, so that these were cut off from the rest. Class: a host takes what it knows for the fleet.

Change: a heartbeat states how many hosts its sender knows. A host of a large fleet answers one that takes the fleet for a small one, each time; every answer names other hosts. Older hosts state nothing, and are answered once, as before.

--- a/core/hosts/gossip.go
+++ b/core/hosts/gossip.go
@@ -14,8 +14,8 @@
 	return largePeriod
 }
 
-// Due reports whether a heartbeat must be sent: a period has passed, new hosts wait
-// for an answer, or something changed that other hosts act on.
+// Due reports whether a heartbeat must be sent: a period has passed, hosts that know few
+// others wait for an answer, or something changed that other hosts act on.
 func (h *Hosts) Due(now time.Time) bool {
 	return now.Sub(h.lastSent) >= h.Period() || len(h.unanswered) > 0 || h.sendNow
 }
@@ -39,7 +39,6 @@
 			}
 		}
 	}
-	// A new host waits for an answer from the seeds that it has contacted.
 	n := min(maxReplies, len(h.unanswered))
 	for _, a := range h.unanswered[:n] {
 		if !slices.Contains(to, a) {
@@ -90,10 +89,10 @@
 }
 
 // Digest returns heartbeats of live hosts to forward with the next one: in a small
-// fleet all of them with every digestInterval-th heartbeat, otherwise digestSize
-// random ones that include the leader's, since all hosts must agree on the leader.
+// fleet all of them with every digestInterval-th heartbeat and with an answer, otherwise
+// digestSize random ones that include the leader's, since all hosts must agree on the leader.
 func (h *Hosts) Digest(now time.Time) []Heartbeat {
-	if len(h.members) < smallFleet && h.self.Count%digestInterval != 0 {
+	if len(h.members) < smallFleet && h.self.Count%digestInterval != 0 && len(h.unanswered) == 0 {
 		return nil
 	}
 	var heartbeats []Heartbeat
--- a/core/hosts/hosts.go
+++ b/core/hosts/hosts.go
@@ -36,7 +36,7 @@
 	// distrustPeriod is the minimum time for which a host is considered dead after
 	// its connection broke.
 	distrustPeriod = 2 * time.Second
-	// maxReplies is the number of new hosts answered with one heartbeat. When a whole
+	// maxReplies is the number of hosts answered with one heartbeat. When a whole
 	// fleet starts, all hosts contact the few seeds at once.
 	maxReplies = 64
 	// maxDigestAge is the age up to which a heartbeat is forwarded. It exceeds the
@@ -67,6 +67,7 @@
 	Started     int64          `cbor:"6,keyasint,omitempty"` // StartBucket of the start time by the host's own clock
 	Leaving     bool           `cbor:"7,keyasint,omitempty"`
 	ReadFailing bool           `cbor:"8,keyasint,omitempty"` // its attempts to read the published facts fail
+	Known       int            `cbor:"9,keyasint,omitempty"` // hosts that it knows, with itself; 0 if not stated
 }
 
 // StartBucket returns the value of Heartbeat.Started for a start time.
@@ -91,7 +92,7 @@
 	lastSent     time.Time
 	sendNow      bool             // something changed that other hosts act on
 	readFailedAt time.Time        // when this host last failed to read; zero if reads succeed
-	unanswered   []netip.AddrPort // new hosts that do not know of this one yet
+	unanswered   []netip.AddrPort // hosts that know too few others
 	assignment   assignment       // of readers, by the leader
 	reassigned   []netip.AddrPort // hosts to be told that they became readers or ceased to be
 	informedAt   time.Time        // when Followers last returned hosts
@@ -124,6 +125,7 @@
 // NextHeartbeat advances this host's counter and returns its heartbeat.
 func (h *Hosts) NextHeartbeat(now time.Time) Heartbeat {
 	h.self.Count++
+	h.self.Known = len(h.members) + 1
 	h.lastSent, h.sendNow = now, false
 	return h.self
 }
@@ -136,7 +138,7 @@
 func (h *Hosts) Receive(now time.Time, heartbeats ...Heartbeat) bool {
 	changed := false
 	for i, b := range heartbeats {
-		if i == 0 && h.members[b.Address] == nil {
+		if i == 0 && h.knowsTooFew(b) && !slices.Contains(h.unanswered, b.Address) {
 			h.unanswered = append(h.unanswered, b.Address)
 		}
 		if i == 0 && h.restoreTrust(now, b) {
@@ -149,6 +151,13 @@
 	return changed
 }
 
+// knowsTooFew reports whether the sender of a heartbeat must be answered: it is new, or it
+// still knows so few hosts that it takes a large fleet for a small one. One answer does not
+// suffice, since the seeds of a starting fleet know few others themselves.
+func (h *Hosts) knowsTooFew(b Heartbeat) bool {
+	return h.members[b.Address] == nil || b.Known > 0 && b.Known < smallFleet && len(h.members) >= smallFleet
+}
+
 // update records a heartbeat if it is newer than the known one, and reports whether
 // the host was unknown or dead, has restarted, or has changed Leaving. A heartbeat of
 // another incarnation is newer if its process did not start earlier, or if the host
