io/coord: no fetch from a peer with nothing newer

Cause: what a peer had announced stayed on the list of those that are ahead until its next heartbeat, although the host had the same by then. A fetch from it is not answered and holds up all others for 0.4 s; peers of the same zone went first, ahead of the one with the configuration.

Change: announcements are kept with their versions and forgotten once the host has them; peers with a newer configuration are asked first.

Evidence: TestOutdatedAnnouncementsDoNotDelayAConfiguration failed before (not in force after 4 s, with 20 such peers) and passes now.

--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -127,7 +127,7 @@
 	beatAt        time.Time
 	lastRunAt     time.Time
 	lastBootTime  time.Duration
-	peersAhead    map[netip.AddrPort]time.Time // peers with newer state, and since when
+	peersAhead    map[netip.AddrPort]announcement // peers with newer state
 	// fetchedAt is when a peer was last asked; zero once it has answered.
 	fetchedAt   time.Time
 	fetchedFrom netip.AddrPort // the peer that was asked last
@@ -166,7 +166,7 @@
 		roster: roster.New(), broker: broker.New(s.Tolerance, s.Incarnation),
 		usage:   quota.NewUsage(now, s.Tolerance.Window),
 		pending: map[uint64]*pendingRequest{}, running: map[uint64]grantedRequest{},
-		peersAhead:  map[netip.AddrPort]time.Time{},
+		peersAhead:  map[netip.AddrPort]announcement{},
 		clientHosts: map[netip.AddrPort]bool{}, nextID: rand.Uint64() >> 16,
 		lastBootTime: s.BootTime(), lastRunAt: now,
 	}
--- a/io/coord/facts.go
+++ b/io/coord/facts.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -161,29 +162,52 @@
 	if m.Version > c.configVersion() && c.configBehindSince.IsZero() {
 		c.configBehindSince = now
 	}
-	if m.Version <= c.configVersion() && m.Revision <= c.rosterRevision() {
-		delete(c.peersAhead, from)
-		return
-	}
-	if c.peersAhead[from].IsZero() {
-		c.peersAhead[from] = now
+	announced := announcement{version: m.Version, revision: m.Revision, since: now}
+	if former, ok := c.peersAhead[from]; ok {
+		announced.since = former.since
 	}
+	c.peersAhead[from] = announced
+	c.forgetCaughtUp()
+}
+
+// announcement is the published state that a peer has announced.
+type announcement struct {
+	version  uint64 // of the configuration
+	revision uint64 // of the roster
+	since    time.Time
 }
 
-// fetchFromPeer fetches from a peer with newer state, preferably one in the same zone;
-// only one fetch is outstanding at a time. A host that reads the store itself first
-// waits fetchDelay for its own read.
+// forgetCaughtUp forgets announcements of what this host has by now: a peer with nothing
+// newer does not respond to a fetch, which would hold up others until its timeout.
+func (c *Coordinator) forgetCaughtUp() {
+	maps.DeleteFunc(c.peersAhead, func(_ netip.AddrPort, a announcement) bool {
+		return a.version <= c.configVersion() && a.revision <= c.rosterRevision()
+	})
+}
+
+// fetchFromPeer fetches from a peer with newer state, preferably with a newer
+// configuration and then in the same zone; only one fetch is outstanding at a time. A host
+// that reads the store itself first waits fetchDelay for its own read.
 func (c *Coordinator) fetchFromPeer(now time.Time) {
+	c.forgetCaughtUp()
 	if now.Sub(c.fetchedAt) < fetchTimeout || len(c.peersAhead) == 0 {
 		return
 	}
 	var from netip.AddrPort
-	for peer, since := range c.peersAhead {
-		if now.Sub(since) < fetchDelay && c.reading && c.hasListing && c.config != nil {
+	best := -1
+	for peer, a := range c.peersAhead {
+		if now.Sub(a.since) < fetchDelay && c.reading && c.hasListing && c.config != nil {
 			continue
 		}
-		if !from.IsValid() || c.hosts.Zone(peer) == c.settings.Zone {
-			from = peer
+		preference := 0
+		if a.version > c.configVersion() {
+			preference += 2
+		}
+		if c.hosts.Zone(peer) == c.settings.Zone {
+			preference++
+		}
+		if preference > best {
+			from, best = peer, preference
 		}
 	}
 	if !from.IsValid() {
--- a/io/coord/fleet_test.go
+++ b/io/coord/fleet_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"yuccadoor/core/hosts"
 	"yuccadoor/core/quota"
 	"yuccadoor/core/roster"
 	"yuccadoor/core/routes"
@@ -308,3 +309,43 @@
 		}
 	})
 }
+
+// silentPeers is a Mesh whose peers respond to no fetch but one.
+type silentPeers struct {
+	answering netip.AddrPort
+	answer    func()
+}
+
+// Send implements Mesh.
+func (p silentPeers) Send(to netip.AddrPort, method string, _ any) {
+	if method == methodFetch && to == p.answering {
+		time.AfterFunc(networkDelay, p.answer)
+	}
+}
+
+// Regression test: a host went on to fetch from peers whose announcements it had caught up
+// with. They had nothing to send, and each of them held up all other fetches for a while.
+func TestOutdatedAnnouncementsDoNotDelayAConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, err := logs.New(io.Discard, "error")
+		assert.NilError(t, err)
+		c, stop := New(t.Context(), Settings{
+			Self: fleetAddress(0), Zone: "zone-0", Incarnation: 1, Log: log, Now: time.Now, BootTime: func() time.Duration { return 0 },
+		})
+		defer stop()
+		reader := fleetAddress(1)
+		assert.NilError(t, c.Attach(t.Context(), silentPeers{reader, func() { c.FeedConfig(&routes.Config{Version: 2}) }}))
+		c.FeedConfig(&routes.Config{Version: 1})
+		announce := func(from netip.AddrPort, m HeartbeatMessage) {
+			m.Heartbeats = []hosts.Heartbeat{{Address: from, Zone: "zone-0", Incarnation: 1, Count: 1}}
+			assert.NilError(t, c.do(t.Context(), func(now time.Time) { c.handleHeartbeat(now, from, m) }))
+		}
+		for n := range 20 {
+			announce(fleetAddress(fleetZones*(n+1)), HeartbeatMessage{Version: 1, Revision: 5})
+		}
+		c.FeedListing(5, nil, nil)
+		announce(reader, HeartbeatMessage{Version: 2, Revision: 5})
+		time.Sleep(maxConfigDelay)
+		assert.Equal(t, c.View().Config.Version, uint64(2))
+	})
+}
