io/coord: a full queue to a host cannot stop the event loop

What callers saw: not seen; found while looking for what can end all service of a leader.

Cause: a message that finds the queue to its host full is reported by an event. While the event loop itself sends and the event queue is full too, it waited for room that only it can make: for good, and its connections and its readiness go on.

Change: the report waits on a goroutine of its own if there is no room.

Evidence: TestFullQueuesDoNotStopTheEventLoop failed before (4,096 events waiting for good) and passes now.

--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -330,7 +330,11 @@
 	c.post(e)
 }
 
-// MessagesLost implements mesh.Handler.
+// MessagesLost implements mesh.Handler. It does not wait for room in the event queue, since
+// it is also called on the event loop, while that sends.
 func (c *Coordinator) MessagesLost(host netip.AddrPort) {
-	c.post(func(now time.Time) { c.handleMessagesLost(now, host) })
+	e := func(now time.Time) { c.handleMessagesLost(now, host) }
+	if !c.events.Offer(e) {
+		go c.post(e)
+	}
 }
