io/accept: a listener goes on after a connection that could not be accepted

Cause: net/http ends its server at every error of accept(2) but a few, and the error was dropped. accept(2) also reports errors of connections that broke while they waited, such as EPROTO. The readiness check has a listener of its own and went on to answer 200.

Change: one function serves for both kinds of host. Errors are logged, and accepting goes on until the listener is closed.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -23,6 +23,7 @@
 	"yuccadoor/core/kernel"
 	"yuccadoor/core/quota"
 	"yuccadoor/core/spread"
+	"yuccadoor/io/accept"
 	"yuccadoor/io/conns"
 	"yuccadoor/io/coord"
 	"yuccadoor/io/gate"
@@ -228,7 +229,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})}
-	cleanup, err := serve(server, h.settings.Ready)
+	cleanup, err := accept.Serve(server, h.settings.Ready, 0, h.log)
 	return server, cleanup, errors.Wrap(err, "listen for the load balancer")
 }
 
@@ -241,7 +242,7 @@
 		return nil, nil, err
 	}
 	server := adminServer(h, m)
-	cleanup, err := serve(server, h.settings.Admin)
+	cleanup, err := accept.Serve(server, h.settings.Admin, 0, h.log)
 	return server, cleanup, errors.Wrap(err, "listen for operators")
 }
 
@@ -268,7 +269,7 @@
 		}
 		return 0
 	})
-	cleanup, err := serve(h.front, h.settings.Front)
+	cleanup, err := accept.Serve(h.front, h.settings.Front, 0, h.log)
 	return h.front, func() {
 		stop()
 		if cleanup != nil {
@@ -282,15 +283,6 @@
 // configuration allows.
 const maxHeaderBytes = 64 << 10
 
-func serve(server *http.Server, address netip.AddrPort) (kernel.Cleanup, error) {
-	l, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return nil, err
-	}
-	go func() { _ = server.Serve(l) }()
-	return func() { server.Close() }, nil
-}
-
 // Status is a host's view of the deployment and its settings, for operators.
 type Status struct {
 	coord.Status
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,10 +13,10 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/net/netutil"
 
 	"yuccadoor/core/kernel"
 	"yuccadoor/core/model"
+	"yuccadoor/io/accept"
 	"yuccadoor/io/admin"
 	"yuccadoor/io/conns"
 	"yuccadoor/io/front"
@@ -224,7 +224,7 @@
 	s.Gauge("yuccadoor_config_revision", func() float64 { return float64(l.Status().ConfigRevision) })
 	s.Gauge("yuccadoor_peers_alive", func() float64 { return float64(len(l.Status().PeersAlive)) })
 	server := admin.Server(l, s, func() map[string]float64 { return objectiveShares(l) })
-	cleanup, err := listen(server, b.settings.admin, 0)
+	cleanup, err := accept.Serve(server, b.settings.admin, 0, b.log)
 	return server, cleanup, errors.Wrap(err, "listen for operators")
 }
 
@@ -260,7 +260,7 @@
 		}
 		handler.ServeHTTP(w, r)
 	}), readTimeout)
-	cleanup, err := listen(server, b.settings.front, b.settings.MaxConns)
+	cleanup, err := accept.Serve(server, b.settings.front, b.settings.MaxConns, b.log)
 	return server, cleanup, errors.Wrap(err, "listen for callers")
 }
 
@@ -272,17 +272,3 @@
 func requestIDPrefix(self netip.AddrPort, incarnation model.Incarnation) string {
 	return strconv.FormatUint(uint64(self.Port()), requestIDBase) + "-" + strconv.FormatUint(uint64(incarnation), requestIDBase)
 }
-
-// listen starts serving at an address. A limit above 0 is the maximum number of open
-// connections.
-func listen(server *http.Server, address netip.AddrPort, limit int) (kernel.Cleanup, error) {
-	l, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return nil, err
-	}
-	if limit > 0 {
-		l = netutil.LimitListener(l, limit)
-	}
-	go func() { _ = server.Serve(l) }()
-	return func() { server.Close() }, nil
-}
