--- a/core/hosts/hosts_test.go
+++ b/core/hosts/hosts_test.go
@@ -256,24 +256,39 @@
 // Regression test: in a large fleet a host counted as alive, and so as a reader, for
 // minutes after its last heartbeat. A frozen host keeps its connections.
 func TestFrozenReadersAreReplacedInALargeFleet(t *testing.T) {
-	f := newFleet(295)
-	f.run(10 * time.Second)
-	readers := func() (n int) {
-		for a, h := range f.hosts {
-			if h.IsReader(f.now) && !f.down[a] {
-				n++
+	for _, c := range []struct {
+		name       string
+		keepLeader bool // it cannot read the store instead
+	}{
+		{"all readers freeze", false},
+		{"the leader cannot read, the others freeze", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(295)
+			f.run(10 * time.Second)
+			lost := map[netip.AddrPort]bool{}
+			for a, h := range f.hosts {
+				if !h.IsReader(f.now) {
+					continue
+				}
+				lost[a] = true
+				if c.keepLeader && h.isLeader {
+					h.SetReadFailing(f.now, true)
+				} else {
+					f.down[a] = true
+				}
 			}
-		}
-		return n
-	}
-	for a, h := range f.hosts {
-		if h.IsReader(f.now) {
-			f.down[a] = true
-		}
+			const maxConfigDelay = 4 * time.Second
+			f.run(maxConfigDelay)
+			readers := 0
+			for a, h := range f.hosts {
+				if h.IsReader(f.now) && !lost[a] {
+					readers++
+				}
+			}
+			assert.Assert(t, readers > 0, "no host reads the store %s after the loss of %d readers", maxConfigDelay, len(lost))
+		})
 	}
-	const maxConfigDelay = 4 * time.Second
-	f.run(maxConfigDelay)
-	assert.Assert(t, readers() > 0, "no host reads the store %s after all readers froze", maxConfigDelay)
 }
 
 // While the store is unreachable every reader fails, and each failure selects another
