Tests: the silence of a reader and fetches from peers with nothing newer are covered

Result: the readers freeze after that host has taken over, half a second is left to read and spread, and fetches without an answer are counted.

--- a/core/hosts/hosts_test.go
+++ b/core/hosts/hosts_test.go
@@ -266,27 +266,30 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(295)
 			f.run(10 * time.Second)
+			leader := f.leaders()[0]
+			if c.keepLeader {
+				f.hosts[leader].SetReadFailing(f.now, true)
+				f.run(largePeriod) // until another host reads in its place
+			}
 			lost := map[netip.AddrPort]bool{}
 			for a, h := range f.hosts {
-				if !h.IsReader(f.now) {
-					continue
-				}
-				lost[a] = true
-				if c.keepLeader && h.isLeader {
-					h.SetReadFailing(f.now, true)
-				} else {
-					f.down[a] = true
+				if h.IsReader(f.now) {
+					lost[a] = true
+					f.down[a] = a != leader || !c.keepLeader
 				}
 			}
-			const maxConfigDelay = 4 * time.Second
-			f.run(maxConfigDelay)
+			const (
+				maxConfigDelay = 4 * time.Second
+				readAndSpread  = 500 * time.Millisecond
+			)
+			f.run(maxConfigDelay - readAndSpread)
 			readers := 0
 			for a, h := range f.hosts {
 				if h.IsReader(f.now) && !lost[a] {
 					readers++
 				}
 			}
-			assert.Assert(t, readers > 0, "no host reads the store %s after the loss of %d readers", maxConfigDelay, len(lost))
+			assert.Assert(t, readers > 0, "no host reads the store %s after the loss of %d readers", maxConfigDelay-readAndSpread, len(lost))
 		})
 	}
 }
--- a/io/coord/fleet_test.go
+++ b/io/coord/fleet_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -312,14 +313,18 @@
 
 // silentPeers is a Mesh whose peers respond to no fetch but one.
 type silentPeers struct {
-	answering netip.AddrPort
-	answer    func()
+	answering  netip.AddrPort
+	answer     func()
+	unanswered atomic.Int32 // fetches
 }
 
 // Send implements Mesh.
-func (p silentPeers) Send(to netip.AddrPort, method string, _ any) {
-	if method == methodFetch && to == p.answering {
+func (p *silentPeers) Send(to netip.AddrPort, method string, _ any) {
+	switch {
+	case method == methodFetch && to == p.answering:
 		time.AfterFunc(networkDelay, p.answer)
+	case method == methodFetch:
+		p.unanswered.Add(1)
 	}
 }
 
@@ -334,7 +339,8 @@
 		})
 		defer stop()
 		reader := fleetAddress(1)
-		assert.NilError(t, c.Attach(t.Context(), silentPeers{reader, func() { c.FeedConfig(&routes.Config{Version: 2}) }}))
+		peers := &silentPeers{answering: reader, answer: func() { c.FeedConfig(&routes.Config{Version: 2}) }}
+		assert.NilError(t, c.Attach(t.Context(), peers))
 		c.FeedConfig(&routes.Config{Version: 1})
 		announce := func(from netip.AddrPort, m HeartbeatMessage) {
 			m.Heartbeats = []hosts.Heartbeat{{Address: from, Zone: "zone-0", Incarnation: 1, Count: 1}}
@@ -347,6 +353,7 @@
 		announce(reader, HeartbeatMessage{Version: 2, Revision: 5})
 		time.Sleep(maxConfigDelay)
 		assert.Equal(t, c.View().Config.Version, uint64(2))
+		assert.Assert(t, peers.unanswered.Load() <= 1, "%d fetches from peers with nothing newer", peers.unanswered.Load())
 	})
 }
 
