core/hosts: a leader tries many dead hosts a second, not one

Cause: a host that lost the leader's connection trusts it again when it writes itself, and the leader tried one dead host a second. Hosts that had been silent at the leader for 4 s, and not yet for the minutes that others wait, it did not try at all.

--- a/core/hosts/gossip.go
+++ b/core/hosts/gossip.go
@@ -54,38 +54,38 @@
 	h.reassigned = nil
 	// After a partition heals, a dead host may be reachable again without any seed
 	// knowing of it.
-	if dead := h.randomDead(now); dead.IsValid() && !slices.Contains(to, dead) {
-		to = append(to, dead)
+	for _, a := range h.randomDead(now, 1) {
+		if !slices.Contains(to, a) {
+			to = append(to, a)
+		}
 	}
 	return to
 }
 
-// Followers returns the live hosts of a large fleet if this host leads it and a period has
-// passed since the last call that returned them. The leader's heartbeat goes to all: it
-// carries the assignment of readers, and a host whose connection to the leader broke
-// trusts it again only after hearing from it.
+// Followers returns the hosts that must hear this host's heartbeat if it leads a large
+// fleet and a period has passed since the last call that returned any: all live ones and
+// some dead ones. The heartbeat carries the assignment of readers, and a host whose
+// connection to the leader broke trusts it again only after hearing from it.
 func (h *Hosts) Followers(now time.Time) []netip.AddrPort {
 	if !h.isLeader || len(h.members) < smallFleet || now.Sub(h.informedAt) < h.Period() {
 		return nil
 	}
 	h.informedAt = now
-	return h.Alive(now)
+	return append(h.Alive(now), h.randomDead(now, maxDeadFollowers)...)
 }
 
-// randomDead returns a random host that is dead and did not announce that it leaves;
-// the zero address if there is none.
-func (h *Hosts) randomDead(now time.Time) netip.AddrPort {
+// randomDead returns at most count random hosts that are dead and did not announce that
+// they leave.
+func (h *Hosts) randomDead(now time.Time, count int) []netip.AddrPort {
 	var dead []netip.AddrPort
 	for a, m := range h.members {
-		if !h.alive(m, now) && !m.heartbeat.Leaving {
+		if !h.aliveByRole(m, now) && !m.heartbeat.Leaving {
 			dead = append(dead, a)
 		}
 	}
-	if len(dead) == 0 {
-		return netip.AddrPort{}
-	}
 	slices.SortFunc(dead, netip.AddrPort.Compare)
-	return dead[h.random.IntN(len(dead))]
+	h.random.Shuffle(len(dead), func(i, j int) { dead[i], dead[j] = dead[j], dead[i] })
+	return dead[:min(count, len(dead))]
 }
 
 // Digest returns heartbeats of live hosts to forward with the next one: in a small
--- a/io/coord/fleet_test.go
+++ b/io/coord/fleet_test.go
@@ -55,6 +55,7 @@
 	byAddress map[netip.AddrPort]int // guarded by mu
 	links     map[linkKey]*fleetLink // guarded by mu
 	config    *routes.Config         // guarded by mu; the published one
+	cutZone   string                 // guarded by mu; reaches no other zone; empty for none
 }
 
 // fleetHost is one host of a fleet; its fields are guarded by fleet.mu.
@@ -64,6 +65,7 @@
 	dark    bool // without power: neither receives nor sends
 	noStore bool // the store does not respond to it
 	refused bool // the store refuses it at once
+	zone    string
 	reading bool
 }
 
@@ -105,9 +107,9 @@
 	if n%bigHostEvery == 0 {
 		share = bigCPUShare
 	}
-	h := &fleetHost{}
+	h := &fleetHost{zone: fmt.Sprint("zone-", n%fleetZones)}
 	h.Coordinator, h.stop = New(f.t.Context(), Settings{
-		Self: fleetAddress(n), Zone: fmt.Sprint("zone-", n%fleetZones), Incarnation: uint64(n + 1), CPUShare: share, Seeds: f.seeds,
+		Self: fleetAddress(n), Zone: h.zone, Incarnation: uint64(n + 1), CPUShare: share, Seeds: f.seeds,
 		Log: log, Now: time.Now, BootTime: func() time.Duration { return 0 }, Tolerance: quota.Tolerance{Window: 8 * time.Second},
 		SetReading: func(on bool) {
 			f.mu.Lock()
@@ -215,8 +217,8 @@
 	self  netip.AddrPort
 }
 
-// Send implements Mesh. What is sent to or by a dark host is lost, and the sender's
-// connection breaks after a while.
+// Send implements Mesh. What is sent to or by a dark host, or out of or into a zone that is
+// cut off, is lost, and the sender's connection breaks after a while.
 func (e fleetEndpoint) Send(to netip.AddrPort, method string, params any) {
 	text, err := json.Marshal(params)
 	assert.NilError(e.fleet.t, err)
@@ -234,7 +236,8 @@
 		link = &fleetLink{}
 		f.links[linkKey{e.self, to}] = link
 	}
-	if !sender.dark && !receiver.dark {
+	isCut := sender.zone != receiver.zone && (sender.zone == f.cutZone || receiver.zone == f.cutZone)
+	if !sender.dark && !receiver.dark && !isCut {
 		link.open = true
 		time.AfterFunc(networkDelay, func() { receiver.Receive(e.self, method, text) })
 		return
@@ -311,6 +314,33 @@
 	})
 }
 
+// Regression test: a zone that had been cut off went on under a leader of its own for up to
+// a minute, since the leader of the others tried one of its hosts a second.
+func TestZoneFollowsTheLeaderOfAllAfterACut(t *testing.T) {
+	const maxReturnTime = 5 * time.Second // from then on a host must keep all bounds
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 295)
+		time.Sleep(3 * time.Second)
+		leader := leaderOf(t, f.hosts[0].Coordinator)
+		setCut := func(zone string) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.cutZone = zone
+		}
+		setCut("zone-3")
+		time.Sleep(6 * time.Second)
+		setCut("")
+		time.Sleep(maxReturnTime)
+		apart := 0
+		for _, h := range f.hosts {
+			if leaderOf(t, h.Coordinator) != leader {
+				apart++
+			}
+		}
+		assert.Equal(t, apart, 0, "hosts that follow another leader %s after the cut", maxReturnTime)
+	})
+}
+
 // silentPeers is a Mesh whose peers respond to no fetch but one.
 type silentPeers struct {
 	answering  netip.AddrPort
