core/hosts: recipients are added in one place, constants say what they follow from

Cause: read as a newcomer would: three loops alike, two comments that told an effect. No change of what is decided; tests of core/hosts and io/coord pass.

--- a/core/hosts/gossip.go
+++ b/core/hosts/gossip.go
@@ -32,33 +32,25 @@
 			to = append(to, leader)
 		}
 	}
-	for _, s := range h.seeds {
-		if s != h.self.Address && !slices.Contains(to, s) {
-			if m := h.members[s]; m == nil || !h.alive(m, now) {
-				to = append(to, s)
+	add := func(hosts []netip.AddrPort) {
+		for _, a := range hosts {
+			if a != h.self.Address && !slices.Contains(to, a) {
+				to = append(to, a)
 			}
 		}
 	}
+	add(slices.DeleteFunc(slices.Clone(h.seeds), func(s netip.AddrPort) bool {
+		m := h.members[s]
+		return m != nil && h.alive(m, now)
+	}))
 	n := min(maxReplies, len(h.unanswered))
-	for _, a := range h.unanswered[:n] {
-		if !slices.Contains(to, a) {
-			to = append(to, a)
-		}
-	}
+	add(h.unanswered[:n])
 	h.unanswered = h.unanswered[n:]
-	for _, a := range h.reassigned {
-		if !slices.Contains(to, a) {
-			to = append(to, a)
-		}
-	}
+	add(h.reassigned)
 	h.reassigned = nil
 	// After a partition heals, a dead host may be reachable again without any seed
 	// knowing of it.
-	for _, a := range h.randomDead(now, 1) {
-		if !slices.Contains(to, a) {
-			to = append(to, a)
-		}
-	}
+	add(h.randomDead(now, 1))
 	return to
 }
 
--- a/core/hosts/hosts.go
+++ b/core/hosts/hosts.go
@@ -39,8 +39,8 @@
 	// maxReplies is the number of hosts answered with one heartbeat. When a whole
 	// fleet starts, all hosts contact the few seeds at once.
 	maxReplies = 64
-	// maxDeadFollowers is the number of dead hosts that a leader tries each period. A
-	// zone of 60 hosts follows it again 2 s after a partition.
+	// maxDeadFollowers is the number of dead hosts that a leader tries each period, so
+	// that a zone of a large fleet is reached within seconds after a partition.
 	maxDeadFollowers = 32
 	// maxDigestAge is the age up to which a heartbeat is forwarded. It exceeds the
 	// interval between two digests.
--- a/core/hosts/readers.go
+++ b/core/hosts/readers.go
@@ -24,8 +24,8 @@
 	// reads in addition: two periods of a large fleet and a delayed heartbeat. It
 	// leaves time to read and spread a configuration within 4 s.
 	maxReaderSilence = 2500 * time.Millisecond
-	// assignmentTimeout is how long an assignment is valid without being repeated in a
-	// heartbeat of the leader, and the leader trusted: three periods of a large fleet.
+	// assignmentTimeout is how long an assignment is valid, and its leader followed,
+	// without a heartbeat that repeats it: three periods of a large fleet.
 	assignmentTimeout = 3 * time.Second
 	// minAssignmentInterval is the time between two changes of the assignment. While
 	// the store refuses all hosts, each change adds readers that fail at once.
