--- a/io/coord/fleet_test.go
+++ b/io/coord/fleet_test.go
@@ -341,6 +341,15 @@
 	})
 }
 
+// startAlone starts one host of a fleet without the others.
+func startAlone(t *testing.T) (*Coordinator, func()) {
+	log, err := logs.New(io.Discard, "error")
+	assert.NilError(t, err)
+	return New(t.Context(), Settings{
+		Self: fleetAddress(0), Zone: "zone-0", Incarnation: 1, Log: log, Now: time.Now, BootTime: func() time.Duration { return 0 },
+	})
+}
+
 // silentPeers is a Mesh whose peers respond to no fetch but one.
 type silentPeers struct {
 	answering  netip.AddrPort
@@ -362,11 +371,7 @@
 // with. They had nothing to send, and each of them held up all other fetches for a while.
 func TestOutdatedAnnouncementsDoNotDelayAConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, err := logs.New(io.Discard, "error")
-		assert.NilError(t, err)
-		c, stop := New(t.Context(), Settings{
-			Self: fleetAddress(0), Zone: "zone-0", Incarnation: 1, Log: log, Now: time.Now, BootTime: func() time.Duration { return 0 },
-		})
+		c, stop := startAlone(t)
 		defer stop()
 		reader := fleetAddress(1)
 		peers := &silentPeers{answering: reader, answer: func() { c.FeedConfig(&routes.Config{Version: 2}) }}
@@ -397,11 +402,7 @@
 // waited for room in the event queue, on the only goroutine that makes room.
 func TestFullQueuesDoNotStopTheEventLoop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, err := logs.New(io.Discard, "error")
-		assert.NilError(t, err)
-		c, stop := New(t.Context(), Settings{
-			Self: fleetAddress(0), Zone: "zone-0", Incarnation: 1, Log: log, Now: time.Now, BootTime: func() time.Duration { return 0 },
-		})
+		c, stop := startAlone(t)
 		defer stop()
 		assert.NilError(t, c.Attach(t.Context(), lossyMesh{c}))
 		full := make(chan struct{})
