--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -31,6 +31,7 @@
 type BrokenRun struct {
 	RequestID      string // given by the caller; for logs
 	Content        model.Fingerprint
+	SharedParts    model.PromptParts // of the prompt
 	Target         string
 	Address        netip.AddrPort
 	Born           uint64 // published lifetime of the target when the request was sent
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -25,6 +26,25 @@
 // String formats the fingerprint as it appears in logs.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// PromptPart identifies a part of prompts that several requests may share.
+type PromptPart uint64
+
+// PromptParts are the parts of one prompt, in order.
+type PromptParts []PromptPart
+
+// String formats the parts as they appear in logs: in hexadecimal, separated by
+// commas.
+func (p PromptParts) String() string {
+	var text strings.Builder
+	for i, part := range p {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		fmt.Fprintf(&text, "%08x", uint64(part))
+	}
+	return text.String()
+}
+
 // Incarnation distinguishes successive processes at the same address.
 type Incarnation uint64
 
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -60,7 +60,7 @@
 func (c *Coordinator) logCrashSteps() {
 	for _, e := range c.broker.TakeCrashEvents() {
 		run := e.Run
-		c.settings.Log.Event("info", crashEvents[e.Step], "Request", run.RequestID, "Content", run.Content, "Target", run.Target,
+		c.settings.Log.Event("info", crashEvents[e.Step], "Request", run.RequestID, "Content", run.Content, "Parts", run.SharedParts, "Target", run.Target,
 			"Address", run.Address, "Refused", run.ConnectRefused, "Took", run.Took, "Age", e.Age, "Crashes", e.CrashCount)
 		if c.settings.Counters != nil {
 			c.settings.Counters.RecordCrashStep(e.Step)
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -57,7 +57,7 @@
 		c.runs++
 	}
 	if r.err != nil || r.outcome != broker.Good {
-		c.handler.Log.Event("info", "attempt ended", "Request", c.info.ID, "Content", c.content, "Target", t.ID, "Address", t.Address,
+		c.handler.Log.Event("info", "attempt ended", "Request", c.info.ID, "Content", c.content, "Parts", c.info.SharedParts, "Target", t.ID, "Address", t.Address,
 			"Outcome", r.outcome, "Status", r.status, "MayHaveRun", r.mayHaveRun, "Took", r.duration, "Error", r.err)
 	}
 	return r
--- a/io/gate/breaks.go
+++ b/io/gate/breaks.go
@@ -42,7 +42,7 @@
 		return
 	}
 	run := broker.BrokenRun{
-		RequestID: c.info.ID, Content: c.content, Target: t.ID, Address: t.Address, Born: t.Born, EndedAt: c.handler.Now(), Took: r.duration,
+		RequestID: c.info.ID, Content: c.content, SharedParts: c.info.SharedParts, Target: t.ID, Address: t.Address, Born: t.Born, EndedAt: c.handler.Now(), Took: r.duration,
 	}
 	if !c.handler.brokenRuns.Offer(run) {
 		c.handler.Log.Event("warn", "broken run not checked for a crash", "Request", run.RequestID, "Content", run.Content, "Target", run.Target)
--- a/io/gate/call.go
+++ b/io/gate/call.go
@@ -282,7 +282,7 @@
 	if c.view.Config != nil {
 		version = c.view.Config.Version
 	}
-	c.handler.Log.Event("info", "request ended", "Request", c.info.ID, "Content", c.content, "Route", route, "Service", c.service,
+	c.handler.Log.Event("info", "request ended", "Request", c.info.ID, "Content", c.content, "Parts", c.info.SharedParts, "Route", route, "Service", c.service,
 		"Workspace", o.Workspace, "Tier", tier, "Class", class, "Status", c.status, "Cause", c.cause, "Target", c.targetID,
 		"Sends", c.sends, "Ran", c.runs, "Waited", c.queueTime, "Turn", c.expectedWait, "After", c.retryAfter,
 		"Prompt", c.info.PromptTokens, "Output", c.info.MaxOutputTokens, "Events", c.events, "Aim", objective, "First", c.timeToFirstPart, "Pause", c.maxGap, "Total", total,
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -14,6 +14,7 @@
 
 	"yuccadoor/core/broker"
 	"yuccadoor/core/budget"
+	"yuccadoor/core/model"
 	"yuccadoor/core/notice"
 	"yuccadoor/core/ring"
 	"yuccadoor/core/routes"
@@ -60,9 +61,12 @@
 	Timeout              time.Duration // how long the client waits; 0 if not stated
 	PromptTokens         int
 	MaxOutputTokens      int
-	ExpectedOutputTokens int    // the client's estimate; 0 if not stated
-	HasTokenCounts       bool   // PromptTokens and MaxOutputTokens are stated
-	LastEventID          string // event after which a stream is to continue; empty for its beginning
+	ExpectedOutputTokens int  // the client's estimate; 0 if not stated
+	HasTokenCounts       bool // PromptTokens and MaxOutputTokens are stated
+	// SharedParts are the parts of the prompt that other requests may have too; not
+	// the last one, which belongs to the request or its session.
+	SharedParts model.PromptParts
+	LastEventID string // event after which a stream is to continue; empty for its beginning
 }
 
 // ForwardInfo holds what a forwarded request's header states in addition to the client's
