core/parts: a part of prompts that crashes targets is found and refused

Cause: evidence was keyed by the content of whole requests. No two of these requests were alike, so that each could end three targets before it was refused, and none of what it showed held for the next.

Change: a crash is attributed to the shared parts of every request that ran at the target; a complete answer clears the parts of its request. Suspected parts run in one request at a time over all hosts, and parts that explain the same crashes never at the same time. The only explanation of three crashes in succession is refused, for ten minutes and then for longer after one more crash. Its crashes no longer count against the contents that ran beside it. All hosts are told of crashes and clearing answers, and hand their records to each other.

An answer that ends with its connection shows nothing of its target: it no longer clears, and its target is checked.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"yuccadoor/core/crash"
+	"yuccadoor/core/model"
 	"yuccadoor/core/notice"
+	"yuccadoor/core/parts"
 	"yuccadoor/core/quota"
 	"yuccadoor/core/roster"
 	"yuccadoor/core/routes"
@@ -37,6 +39,7 @@
 type run struct {
 	target string
 	queued *queuedRequest // nil for a run reported by Sync
+	parts  model.PromptParts
 	// backlog is the estimated time that the target first needs to read other
 	// prompts.
 	backlog time.Duration
@@ -45,17 +48,20 @@
 // Broker holds the queues, the running requests and the target statistics of one
 // leader.
 type Broker struct {
-	roster  *roster.Snapshot
-	config  *routes.Config
-	queues  map[string][]*queuedRequest // by service, in order of arrival
-	runs    map[requestKey]*run
-	targets map[string]*target
+	roster *roster.Snapshot
+	config *routes.Config
+	queues map[string][]*queuedRequest // by service, in order of arrival
+	runs   map[requestKey]*run
+	// runsByPart is the number of runs with a shared part of the prompt.
+	runsByPart map[model.PromptPart]int
+	targets    map[string]*target
 	// latencies holds the learnt answer latency of each service.
 	latencies      map[string]*latencyEstimate
 	meanSizes      map[sizeKey]float64 // mean size of requests, in prompt tokens
 	quota          *quota.Buckets
-	reachableShare float64 // of the fleet that this host reaches, 0 to 1
-	crashes        *crash.Records
+	reachableShare float64        // of the fleet that this host reaches, 0 to 1
+	crashes        *crash.Records // of whole requests
+	parts          *parts.Records // crashes by parts of prompts
 	notices        *notice.Store
 	// reportedSerial is the serial of the last crash returned by NewCrashes.
 	reportedSerial uint64
@@ -73,8 +79,9 @@
 func New(t quota.Tolerance, self uint64) *Broker {
 	return &Broker{
 		roster: roster.New().Snapshot(), config: (&routes.Config{}).Index(),
-		queues: map[string][]*queuedRequest{}, runs: map[requestKey]*run{}, targets: map[string]*target{},
-		latencies: map[string]*latencyEstimate{}, meanSizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(self, crashThreshold), reachableShare: 1,
+		queues: map[string][]*queuedRequest{}, runs: map[requestKey]*run{}, runsByPart: map[model.PromptPart]int{},
+		targets:   map[string]*target{},
+		latencies: map[string]*latencyEstimate{}, meanSizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(self, crashThreshold), parts: parts.NewRecords(self), reachableShare: 1,
 		notices: notice.NewStore(),
 		grants:  map[netip.AddrPort][]Grant{}, refusals: map[netip.AddrPort][]Refusal{},
 	}
@@ -134,8 +141,8 @@
 	}
 	q := &queuedRequest{requestKey: k, request: r, startBy: now.Add(r.StartWithin), expiresAt: now.Add(r.ExpiresIn), cost: costOf(r)}
 	q.valuePerCost = b.valueOf(r) / q.cost
-	if b.isRefused(now, r.Content) {
-		b.refuseForCrashes(k)
+	if refusal, ok := b.crashRefusal(now, r); ok {
+		b.refuse(k, refusal)
 		return
 	}
 	if !r.Resubmitted {
@@ -174,7 +181,7 @@
 	if r == nil {
 		return
 	}
-	delete(b.runs, k)
+	b.removeRun(k)
 	if r.target != c.Target {
 		// The host used a grant from before its last Sync, and never this one.
 		if t := b.targets[r.target]; t != nil {
@@ -199,11 +206,9 @@
 	if t.published != nil {
 		b.eject(now, t)
 	}
-	if r.queued != nil {
-		b.addPendingCheck(now, c, r.queued.request.Content)
-		if c.Outcome == Good {
-			b.recordAnswer(now, r.queued.request, r.target)
-		}
+	b.addPendingCheck(now, c, r)
+	if c.Outcome == Good {
+		b.recordAnswer(now, r, c.Inconclusive)
 	}
 	if first := c.startLatency(); c.Outcome == Good && first > 0 && t.published != nil {
 		b.learnStartLatency(t, max(first-r.backlog, 0), prompt)
@@ -218,7 +223,7 @@
 func (b *Broker) Sync(now time.Time, host netip.AddrPort, running []RunningRequest, requests []Request) {
 	b.RemoveHost(now, host)
 	for _, r := range running {
-		b.runs[requestKey{host, r.ID}] = &run{target: r.Target}
+		b.addRun(requestKey{host, r.ID}, &run{target: r.Target, parts: r.SharedParts})
 		if t := b.targets[r.Target]; t != nil {
 			t.running++
 		}
@@ -228,13 +233,34 @@
 	}
 }
 
+func (b *Broker) addRun(k requestKey, r *run) {
+	b.removeRun(k)
+	b.runs[k] = r
+	for _, p := range r.parts {
+		b.runsByPart[p]++
+	}
+}
+
+func (b *Broker) removeRun(k requestKey) {
+	r := b.runs[k]
+	if r == nil {
+		return
+	}
+	delete(b.runs, k)
+	for _, p := range r.parts {
+		if b.runsByPart[p]--; b.runsByPart[p] <= 0 {
+			delete(b.runsByPart, p)
+		}
+	}
+}
+
 // RemoveHost drops all requests of a host that is gone.
 func (b *Broker) RemoveHost(now time.Time, host netip.AddrPort) {
 	for k, r := range b.runs {
 		if k.host != host {
 			continue
 		}
-		delete(b.runs, k)
+		b.removeRun(k)
 		if t := b.targets[r.target]; t != nil {
 			t.running--
 		}
@@ -252,6 +278,9 @@
 func (b *Broker) Tick(now time.Time) {
 	b.settleBrokenRuns(now)
 	b.expirePendingChecks(now)
+	if b.parts.Refresh(now) {
+		b.crashesChanged(now)
+	}
 	for service := range b.queues {
 		b.shed(now, service)
 		b.match(now, service)
@@ -312,7 +341,7 @@
 	kept := queue[:0]
 	for _, q := range queue {
 		var t *target
-		if b.mayRun(now, q.request.Content) {
+		if b.mayRun(now, q.request) {
 			t = b.pickTarget(now, q, free, allowed)
 		}
 		if t == nil {
@@ -341,6 +370,6 @@
 	backlog := t.prefillBacklog(now)
 	t.recordGrant(now, b, q)
 	t.running++
-	b.runs[q.requestKey] = &run{target: t.published.ID, queued: q, backlog: backlog}
+	b.addRun(q.requestKey, &run{target: t.published.ID, queued: q, parts: q.request.SharedParts, backlog: backlog})
 	b.grants[q.host] = append(b.grants[q.host], Grant{ID: q.request.ID, Target: t.published.ID})
 }
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -7,6 +7,7 @@
 
 	"yuccadoor/core/member"
 	"yuccadoor/core/model"
+	"yuccadoor/core/parts"
 )
 
 // Limits for request contents that crash targets.
@@ -37,6 +38,7 @@
 	Born           uint64 // published lifetime of the target when the request was sent
 	EndedAt        time.Time
 	Took           time.Duration // from sending to the end
+	Answered       bool          // with an answer that has no other end than that of its connection
 	ConnectRefused bool          // the target accepted no connection just after
 }
 
@@ -49,6 +51,8 @@
 	CrashRecorded  CrashStep = "Recorded"  // its target had crashed
 	CrashRuledOut  CrashStep = "RuledOut"  // its target was still running
 	CrashesCleared CrashStep = "Cleared"   // a target answered the content completely
+	PartRefused    CrashStep = "PartRefused"
+	PartAllowed    CrashStep = "PartAllowed" // again: answered completely, or another part explains the crashes
 )
 
 // CrashEvent reports one step in the investigation of a suspected crash, for logs
@@ -57,7 +61,7 @@
 	Step       CrashStep
 	Run        BrokenRun
 	Age        time.Duration // since the run ended
-	CrashCount int           // recorded for the content so far
+	CrashCount int           // recorded so far for the content, or attributed to the part
 }
 
 // TakeCrashEvents returns the events since the last call.
@@ -68,6 +72,9 @@
 }
 
 func (b *Broker) addCrashEvent(now time.Time, step CrashStep, r BrokenRun) {
+	if r.Answered && step != CrashRecorded {
+		return
+	}
 	b.crashEvents = append(b.crashEvents, CrashEvent{step, r, now.Sub(r.EndedAt), b.crashes.Count(now, r.Content)})
 }
 
@@ -87,28 +94,59 @@
 // pendingCheck is a run that ended without its answer a moment ago and may still
 // turn out to be a crash.
 type pendingCheck struct {
-	content model.Fingerprint
+	content model.Fingerprint // 0 if unknown
+	parts   model.PromptParts
+	broken  bool      // its outcome was Broken
 	until   time.Time // when it would be known to be a crash
 }
 
 // addPendingCheck records the end of a run that may turn out to be a crash.
-func (b *Broker) addPendingCheck(now time.Time, c Completion, content model.Fingerprint) {
-	if c.Outcome == Broken || c.Outcome == Cancelled {
-		b.pendingChecks = append(b.pendingChecks, pendingCheck{content, now.Add(crashCheckTime)})
+func (b *Broker) addPendingCheck(now time.Time, c Completion, r *run) {
+	if c.Outcome != Broken && c.Outcome != Cancelled && (c.Outcome != Good || !c.Inconclusive) {
+		return
+	}
+	check := pendingCheck{parts: r.parts, broken: c.Outcome == Broken, until: now.Add(crashCheckTime)}
+	if r.queued != nil {
+		check.content = r.queued.request.Content
 	}
+	b.pendingChecks = append(b.pendingChecks, check)
 }
 
-// resolvePendingCheck removes one such run of a content whose crash is now known.
+// resolvePendingCheck stops counting one such run of a content whose crash is now
+// known. The crash may still be attributed to its parts in a message to come.
 func (b *Broker) resolvePendingCheck(content model.Fingerprint) {
 	if i := slices.IndexFunc(b.pendingChecks, func(check pendingCheck) bool { return check.content == content }); i >= 0 {
-		b.pendingChecks = slices.Delete(b.pendingChecks, i, i+1)
+		b.pendingChecks[i].content = 0
 	}
 }
 
-// mayRun reports whether one more run of a content may start. A content that has
-// crashed targets runs at most as many times at once as it may cause further
+// mayRun reports whether a request may be granted a target, as far as crashes are
+// concerned.
+func (b *Broker) mayRun(now time.Time, r Request) bool {
+	return b.mayRunContent(now, r.Content) && b.mayRunParts(now, r.SharedParts)
+}
+
+// mayRunParts reports whether no other request with a suspected part of the prompt is
+// running, or may have crashed its target a moment ago.
+func (b *Broker) mayRunParts(now time.Time, shared model.PromptParts) bool {
+	v := b.parts.Check(now, shared)
+	if v.Refused {
+		return false
+	}
+	if slices.ContainsFunc(v.Suspects, func(p model.PromptPart) bool { return b.runsByPart[p] > 0 }) {
+		return false
+	}
+	return !slices.ContainsFunc(b.pendingChecks, func(check pendingCheck) bool {
+		return slices.ContainsFunc(check.parts, func(p model.PromptPart) bool {
+			return slices.Contains(v.Suspects, p) || check.broken && slices.Contains(shared, p) && !b.parts.Sound(p)
+		})
+	})
+}
+
+// mayRunContent reports whether one more run of a content may start. A content that
+// has crashed targets runs at most as many times at once as it may cause further
 // crashes before it is refused.
-func (b *Broker) mayRun(now time.Time, content model.Fingerprint) bool {
+func (b *Broker) mayRunContent(now time.Time, content model.Fingerprint) bool {
 	crashes := b.crashes.Count(now, content)
 	if crashes == 0 {
 		return true
@@ -133,34 +171,51 @@
 
 func (b *Broker) recordCrash(now time.Time, r BrokenRun) {
 	b.crashes.RecordCrash(r.EndedAt, r.Took, r.Content, r.Address)
+	b.parts.RecordCrash(r.EndedAt, r.Took, r.Address, r.SharedParts)
 	b.addCrashEvent(now, CrashRecorded, r)
 	b.resolvePendingCheck(r.Content)
-	b.refuseCrashingRequests(now)
+	b.crashesChanged(now)
 }
 
-// isRefused reports whether a content has reached crashThreshold.
-func (b *Broker) isRefused(now time.Time, content model.Fingerprint) bool {
-	_, refused := b.crashes.Refused(now, content)
-	return refused
-}
-
-// refuseCrashingRequests refuses the waiting requests whose content has reached
-// crashThreshold.
-func (b *Broker) refuseCrashingRequests(now time.Time) {
+// crashesChanged refuses the waiting requests that may no longer run. Crashes that a
+// refused part explains are not the fault of the requests that ran beside it.
+func (b *Broker) crashesChanged(now time.Time) {
+	b.crashes.Forgive(func(target netip.AddrPort, sentAt, at time.Time) bool {
+		return b.parts.Explains(now, target, sentAt, at)
+	})
+	b.reportPartChanges(now)
 	for service, queue := range b.queues {
 		b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool {
-			refused := b.isRefused(now, q.request.Content)
+			refusal, refused := b.crashRefusal(now, q.request)
 			if refused {
 				b.returnTokens(q)
-				b.refuseForCrashes(q.requestKey)
+				b.refuse(q.requestKey, refusal)
 			}
 			return refused
 		})
 	}
 }
 
-func (b *Broker) refuseForCrashes(k requestKey) {
-	b.refuse(k, Refusal{ID: k.id, RetryAfter: crashRetryAfter, Cause: "CrashesTargets"})
+// crashRefusal returns the refusal of a request whose content, or a part of whose
+// prompt, crashes targets.
+func (b *Broker) crashRefusal(now time.Time, r Request) (Refusal, bool) {
+	if v := b.parts.Check(now, r.SharedParts); v.Refused {
+		return Refusal{ID: r.ID, RetryAfter: max(v.RetryAfter, crashRetryAfter), Cause: "PartCrashesTargets"}, true
+	}
+	_, refused := b.crashes.Refused(now, r.Content)
+	return Refusal{ID: r.ID, RetryAfter: crashRetryAfter, Cause: "CrashesTargets"}, refused
+}
+
+// reportPartChanges adds crash events for parts that are refused or allowed again.
+func (b *Broker) reportPartChanges(now time.Time) {
+	for _, c := range b.parts.TakeChanges() {
+		step := PartAllowed
+		if c.Refused {
+			step = PartRefused
+		}
+		run := BrokenRun{SharedParts: model.PromptParts{c.Part}, EndedAt: now}
+		b.crashEvents = append(b.crashEvents, CrashEvent{Step: step, Run: run, CrashCount: c.Crashes})
+	}
 }
 
 // settleBrokenRuns decides which broken runs were crashes: a run whose target is
@@ -174,6 +229,9 @@
 			b.recordCrash(now, r)
 		case now.Sub(r.EndedAt) >= restartPublishDelay:
 			b.addCrashEvent(now, CrashRuledOut, r)
+			if r.Answered {
+				b.parts.RecordAnswer(r.EndedAt, r.SharedParts)
+			}
 		default:
 			return false
 		}
@@ -181,15 +239,39 @@
 	})
 }
 
-// recordAnswer records that a target answered a request completely, which clears
-// the crashes of its content.
-func (b *Broker) recordAnswer(now time.Time, r Request, target string) {
-	if b.crashes.RecordAnswer(now, r.Content) {
+// recordAnswer records that a target answered a request completely, which clears the
+// crashes of its content and of its parts unless the answer is inconclusive.
+func (b *Broker) recordAnswer(now time.Time, r *run, inconclusive bool) {
+	if inconclusive {
+		b.parts.RecordInconclusiveAnswer(r.parts)
+		return
+	}
+	b.parts.RecordAnswer(now, r.parts)
+	b.reportPartChanges(now)
+	if r.queued == nil {
+		return
+	}
+	content := r.queued.request.Content
+	if b.crashes.RecordAnswer(now, content) {
 		b.answersChanged = true
-		b.addCrashEvent(now, CrashesCleared, BrokenRun{Content: r.Content, Target: target, EndedAt: now})
+		b.addCrashEvent(now, CrashesCleared, BrokenRun{Content: content, SharedParts: r.parts, Target: r.target, EndedAt: now})
 	}
 }
 
+// NewPartRecords returns the crashes and answers of parts of prompts that were recorded
+// here since the last call, which the other hosts are sent.
+func (b *Broker) NewPartRecords(now time.Time) parts.Shared { return b.parts.TakeNew(now) }
+
+// AllPartRecords returns all records of parts of prompts, for a host that may have
+// missed some.
+func (b *Broker) AllPartRecords(now time.Time) parts.Shared { return b.parts.Handover(now) }
+
+// MergePartRecords merges the records of parts of prompts of another host.
+func (b *Broker) MergePartRecords(now time.Time, s parts.Shared) {
+	b.parts.Merge(now, s)
+	b.crashesChanged(now)
+}
+
 // NewAnswers returns the contents with crashes that have been answered since, or
 // nil if there are no new ones since the last call.
 func (b *Broker) NewAnswers(now time.Time) []member.Answer {
@@ -230,5 +312,5 @@
 	for _, c := range crashes {
 		b.resolvePendingCheck(c.Fingerprint)
 	}
-	b.refuseCrashingRequests(now)
+	b.crashesChanged(now)
 }
--- a/core/broker/message.go
+++ b/core/broker/message.go
@@ -27,7 +27,8 @@
 	Content model.Fingerprint `cbor:"14,keyasint,omitempty"`
 	// MaxEventGap is the longest gap between two events of a stream that is in
 	// time; 0 if the answer is no stream.
-	MaxEventGap time.Duration `cbor:"15,keyasint,omitempty"`
+	MaxEventGap time.Duration     `cbor:"15,keyasint,omitempty"`
+	SharedParts model.PromptParts `cbor:"16,keyasint,omitempty"` // of the prompt; not its last part
 }
 
 // Grant allows a host to send one request to one target.
@@ -76,6 +77,9 @@
 	ColdLeft time.Duration `cbor:"7,keyasint,omitempty"`
 	// MaxEventGap is the longest gap between two events.
 	MaxEventGap time.Duration `cbor:"8,keyasint,omitempty"`
+	// Inconclusive is set if a good answer does not show that the target has survived
+	// the request: it is no success, or the end of its connection is its only end.
+	Inconclusive bool `cbor:"9,keyasint,omitempty"`
 }
 
 // startLatency is the time until the answer started. An answer that is no stream
@@ -89,6 +93,7 @@
 
 // RunningRequest is a granted request in progress, reported to a new leader.
 type RunningRequest struct {
-	ID     uint64 `cbor:"1,keyasint,omitempty"`
-	Target string `cbor:"2,keyasint,omitempty"`
+	ID          uint64            `cbor:"1,keyasint,omitempty"`
+	Target      string            `cbor:"2,keyasint,omitempty"`
+	SharedParts model.PromptParts `cbor:"3,keyasint,omitempty"`
 }
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -133,6 +133,14 @@
 	r.retain(f, func(c record) bool { return c.at.After(until) })
 }
 
+// Forgive drops the crashes that have another cause than the content, as reported by
+// explained for the target, the sending of the request and the crash.
+func (r *Records) Forgive(explained func(target netip.AddrPort, sentAt, at time.Time) bool) {
+	for f := range r.crashes {
+		r.retain(f, func(c record) bool { return !explained(c.target, c.sentAt, c.at) })
+	}
+}
+
 // retain drops the records of a content for which wanted returns false.
 func (r *Records) retain(f model.Fingerprint, wanted func(record) bool) {
 	before := len(r.crashes[f])
--- /dev/null
+++ b/core/parts/parts.go
@@ -0,0 +1,292 @@
+// Package parts finds the prompt parts that crash targets, by group testing. A crash
+// is attributed to the shared parts of all requests that ran on the target; a
+// complete answer shows that the parts of its request are sound. Requests with a part
+// that several crashes are attributed to run one at a time, and are refused once they
+// contain every part that can explain these crashes. Package crash is the counterpart
+// for whole requests. The package does no I/O; one goroutine owns the Records.
+package parts
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"yuccadoor/core/member"
+	"yuccadoor/core/model"
+)
+
+// Thresholds of the verdicts, in crashes in succession.
+const (
+	suspectThreshold      = 1
+	suspectThresholdSound = 2 // for parts that were answered completely before
+	refusalThreshold      = 3 // as for whole requests
+)
+
+// Limits of the records.
+const (
+	expiry          = 10 * time.Minute // after this time a crash is forgotten
+	maxCrashes      = 256
+	maxRunsPerCrash = 256 // with different parts
+	maxAnswers      = 4096
+	maxSound        = 8192
+	maxRefusals     = 256
+	// reportTime is how long the reports of one crash from several hosts may take: the
+	// attempt to connect to the target, and the message.
+	reportTime = 300 * time.Millisecond
+	// transitSlack is how much later a record from another host may appear: its age
+	// is given as of sending, and messages take some time.
+	transitSlack = 300 * time.Millisecond
+	// probeBackoff is the factor between the lengths of successive refusals of a part,
+	// since each ends with a request that may crash one more target.
+	probeBackoff  = 16
+	refusalMemory = 24 * time.Hour // after the end of a refusal, in which one more crash renews it
+	// expiryCheckPeriod is the precision of expiry.
+	expiryCheckPeriod = time.Second
+)
+
+// Change is a change of the verdict on a part.
+type Change struct {
+	Part    model.PromptPart
+	Refused bool
+	Crashes int // attributed to the part
+}
+
+// run is a run that broke off in a crash.
+type run struct {
+	id     member.CrashID
+	sentAt time.Time
+	at     time.Time
+	parts  model.PromptParts // to which the crash is attributed
+}
+
+// crashEvent is one crash of a target.
+type crashEvent struct {
+	target netip.AddrPort
+	runs   []run // at least one
+}
+
+// includes reports whether a run broke off in this crash: the runs overlap, within
+// the timing error between hosts. A request sent after a crash reached the restarted
+// target.
+func (e *crashEvent) includes(target netip.AddrPort, r run) bool {
+	return e.target == target && slices.ContainsFunc(e.runs, func(x run) bool {
+		slack := time.Duration(0)
+		if x.id.Seer != r.id.Seer {
+			slack = transitSlack
+		}
+		return x.sentAt.Sub(r.at) <= slack && r.sentAt.Sub(x.at) <= slack
+	})
+}
+
+// end is when the first of its runs broke off.
+func (e *crashEvent) end() time.Time {
+	return slices.MinFunc(e.runs, func(x, y run) int { return x.at.Compare(y.at) }).at
+}
+
+// refusal is the state of a part that is or was refused.
+type refusal struct {
+	crashedAt time.Time // its latest crash
+	until     time.Time
+	length    time.Duration
+}
+
+// Records holds the crashes and answers that one host knows of.
+type Records struct {
+	process  uint64 // identifies this process in the ids of its records
+	serial   uint64 // of the last crash reported here
+	events   []*crashEvent
+	answered map[model.PromptPart]time.Time // last complete answers to parts with crashes
+	sound    recentParts                    // that were answered, completely as far as is known
+	refusals map[model.PromptPart]refusal
+	changes  []Change
+	// unsentRuns and unsentAnswers were reported here and not yet returned by TakeNew.
+	unsentRuns    []targetRun
+	unsentAnswers []model.PromptPart
+	// findings are computed when they are needed; nil if the records have changed.
+	findings *findings
+	expireAt time.Time // when the first of the crashes expires
+}
+
+// recentParts is a set of the parts added last, at least maxSound and at most twice as
+// many.
+type recentParts struct{ current, former map[model.PromptPart]bool }
+
+func (s *recentParts) contains(p model.PromptPart) bool { return s.current[p] || s.former[p] }
+
+// add adds a part and reports whether it is new.
+func (s *recentParts) add(p model.PromptPart) bool {
+	if s.current[p] {
+		return false
+	}
+	isNew := !s.former[p]
+	if len(s.current) >= maxSound {
+		s.former, s.current = s.current, nil
+	}
+	if s.current == nil {
+		s.current = map[model.PromptPart]bool{}
+	}
+	s.current[p] = true
+	return isNew
+}
+
+// targetRun is a run with its target.
+type targetRun struct {
+	target netip.AddrPort
+	run
+}
+
+// NewRecords returns empty records. No other process has the same processID.
+func NewRecords(processID uint64) *Records {
+	return &Records{process: processID, answered: map[model.PromptPart]time.Time{}, refusals: map[model.PromptPart]refusal{}}
+}
+
+// RecordCrash records that a target crashed at a time while it ran a request with
+// shared parts that it was sent took earlier.
+func (r *Records) RecordCrash(at time.Time, took time.Duration, target netip.AddrPort, parts model.PromptParts) {
+	r.serial++
+	x := run{id: member.CrashID{Seer: r.process, Serial: r.serial}, sentAt: at.Add(-took), at: at, parts: parts}
+	if r.add(target, x) {
+		r.unsentRuns = append(r.unsentRuns, targetRun{target, x})
+	}
+	r.conclude(at) // a refusal outlives its crashes
+}
+
+// add adds a run unless it is known or nothing can be attributed to it.
+func (r *Records) add(target netip.AddrPort, x run) bool {
+	x.parts = slices.DeleteFunc(slices.Clone(x.parts), func(p model.PromptPart) bool { return !x.at.After(r.answered[p]) })
+	if len(x.parts) == 0 {
+		return false
+	}
+	r.findings = nil
+	i := slices.IndexFunc(r.events, func(e *crashEvent) bool { return e.includes(target, x) })
+	if i < 0 {
+		r.evict()
+		r.events = append(r.events, &crashEvent{target: target, runs: []run{x}})
+		return true
+	}
+	return r.events[i].add(x)
+}
+
+// add adds a run to a crash. Of several runs with the same parts the one that was sent
+// last is kept.
+func (e *crashEvent) add(x run) bool {
+	i := slices.IndexFunc(e.runs, func(y run) bool { return slices.Equal(x.parts, y.parts) })
+	switch {
+	case i >= 0 && !x.sentAt.After(e.runs[i].sentAt):
+		return false
+	case i >= 0:
+		e.runs[i] = x
+	case len(e.runs) >= maxRunsPerCrash:
+		return false
+	default:
+		e.runs = append(e.runs, x)
+	}
+	return true
+}
+
+// evict drops the oldest crash if there are too many.
+func (r *Records) evict() {
+	if len(r.events) < maxCrashes {
+		return
+	}
+	oldest := slices.MinFunc(r.events, func(x, y *crashEvent) int { return x.end().Compare(y.end()) })
+	r.events = slices.DeleteFunc(r.events, func(e *crashEvent) bool { return e == oldest })
+}
+
+// RecordAnswer records that a target answered a request with shared parts completely,
+// so that none of them crashes targets.
+func (r *Records) RecordAnswer(now time.Time, parts model.PromptParts) {
+	r.RecordInconclusiveAnswer(parts)
+	if len(r.events)+len(r.refusals) == 0 || len(parts) == 0 {
+		return
+	}
+	f := r.conclude(now)
+	for _, p := range parts {
+		if _, refused := r.refusals[p]; (refused || f.attributed[p]) && r.clear(p, now) {
+			r.unsentAnswers = append(r.unsentAnswers, p)
+		}
+	}
+}
+
+// RecordInconclusiveAnswer records an answer to a request with shared parts that may
+// have ended with its target.
+func (r *Records) RecordInconclusiveAnswer(parts model.PromptParts) {
+	for _, p := range parts {
+		if r.sound.add(p) {
+			r.findings = nil
+		}
+	}
+}
+
+// Sound reports whether a request with a part was answered before.
+func (r *Records) Sound(p model.PromptPart) bool { return r.sound.contains(p) }
+
+// clear drops the crashes attributed to a part up to a time, and its refusal. It
+// reports whether the answer is newer than the last known one.
+func (r *Records) clear(p model.PromptPart, until time.Time) bool {
+	if !until.After(r.answered[p]) {
+		return false
+	}
+	if len(r.answered) >= maxAnswers {
+		r.evictAnswer()
+	}
+	r.answered[p] = until
+	if f, ok := r.refusals[p]; ok && until.After(f.crashedAt) {
+		r.dropRefusal(p)
+	}
+	for _, e := range r.events {
+		for i := range e.runs {
+			if x := &e.runs[i]; !x.at.After(until) {
+				x.parts = slices.DeleteFunc(x.parts, func(q model.PromptPart) bool { return q == p })
+			}
+		}
+	}
+	r.events = slices.DeleteFunc(r.events, func(e *crashEvent) bool {
+		e.runs = slices.DeleteFunc(e.runs, func(x run) bool { return len(x.parts) == 0 })
+		return len(e.runs) == 0
+	})
+	r.findings = nil
+	return true
+}
+
+// evictAnswer drops the oldest answer.
+func (r *Records) evictAnswer() {
+	var oldest model.PromptPart
+	first := true
+	for p, at := range r.answered {
+		if first || at.Before(r.answered[oldest]) {
+			oldest, first = p, false
+		}
+	}
+	delete(r.answered, oldest)
+}
+
+// expire forgets what is too old to matter.
+func (r *Records) expire(now time.Time) {
+	if now.Before(r.expireAt) {
+		return
+	}
+	r.events = slices.DeleteFunc(r.events, func(e *crashEvent) bool { return now.Sub(e.end()) >= expiry })
+	maps.DeleteFunc(r.answered, func(_ model.PromptPart, at time.Time) bool { return now.Sub(at) >= expiry })
+	maps.DeleteFunc(r.refusals, func(_ model.PromptPart, f refusal) bool { return now.Sub(f.until) >= refusalMemory })
+	r.findings = nil
+	r.expireAt = now.Add(expiryCheckPeriod)
+}
+
+// Refresh takes account of the time that has passed, and reports whether verdicts may
+// have changed by it.
+func (r *Records) Refresh(now time.Time) bool {
+	if len(r.events)+len(r.refusals) == 0 {
+		return false
+	}
+	former := r.findings
+	return r.conclude(now) != former
+}
+
+// TakeChanges returns the changes of verdicts since the last call.
+func (r *Records) TakeChanges() []Change {
+	changes := r.changes
+	r.changes = nil
+	return changes
+}
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -148,7 +148,7 @@
 	const took = 5 * time.Millisecond
 	c.ReportCompletion(broker.Completion{ID: id, Target: d.Target, Outcome: broker.Broken, Took: took})
 	address := c.View().Roster.Targets[d.Target].Address
-	c.ReportBrokenRun(broker.BrokenRun{Content: r.Content, Target: d.Target, Address: address, EndedAt: time.Now(), Took: took, ConnectRefused: true})
+	c.ReportBrokenRun(broker.BrokenRun{Content: r.Content, SharedParts: r.SharedParts, Target: d.Target, Address: address, EndedAt: time.Now(), Took: took, ConnectRefused: true})
 	time.Sleep(2 * took) // the target has restarted
 }
 
@@ -174,6 +174,29 @@
 	hosts[2].ReportCompletion(broker.Completion{ID: id, Target: d.Target, Outcome: broker.Good, Took: time.Millisecond})
 }
 
+// Guards against losing crashes by parts of prompts with the leader.
+func TestPartsThatCrashTargetsAreKnownToTheNextLeader(t *testing.T) {
+	_, hosts, kill := startHosts(t, 3)
+	for _, c := range hosts {
+		awaitLeader(t, c, hostAt(0))
+	}
+	request := broker.Request{SharedParts: model.PromptParts{77}}
+	for i := range crashThreshold {
+		crash(t, hosts[1+i%2], request)
+		time.Sleep(400 * time.Millisecond) // until all hosts can have reported it
+	}
+	for i := range 2 {
+		_, d := submit(t, hosts[2-i], request)
+		assert.Assert(t, d.Refusal != nil && d.Refusal.Cause == "PartCrashesTargets" && d.Refusal.RetryAfter > 9*time.Minute, "%v", d)
+		if i == 0 {
+			kill(0)
+			awaitLeader(t, hosts[1], hostAt(1))
+		}
+	}
+	_, d := submit(t, hosts[2], broker.Request{SharedParts: model.PromptParts{78}})
+	assert.Assert(t, d.Target != "", "%v", d.Refusal)
+}
+
 // Guards against incomplete exchange of crash records after a partition: records made
 // during it were passed on only in part or not at all.
 func TestCrashesAreKnownAcrossAPartition(t *testing.T) {
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -7,6 +7,7 @@
 	"yuccadoor/core/broker"
 	"yuccadoor/core/member"
 	"yuccadoor/core/notice"
+	"yuccadoor/core/parts"
 	"yuccadoor/core/quota"
 	"yuccadoor/io/pack"
 )
@@ -46,14 +47,15 @@
 type CrashRecords struct {
 	Crashes []member.Crash  `cbor:"1,keyasint,omitempty"`
 	Answers []member.Answer `cbor:"2,keyasint,omitempty"` // contents answered since they crashed a target
+	Parts   parts.Shared    `cbor:"3,keyasint,omitempty"` // of parts of prompts
 }
 
-func (m *CrashRecords) empty() bool { return len(m.Crashes)+len(m.Answers) == 0 }
+func (m *CrashRecords) empty() bool { return len(m.Crashes)+len(m.Answers) == 0 && m.Parts.Empty() }
 
 // crashEvents maps crash detection steps to log events.
 var crashEvents = map[broker.CrashStep]string{
 	broker.CrashSuspected: "crash suspected", broker.CrashRecorded: "crash recorded", broker.CrashRuledOut: "crash ruled out",
-	broker.CrashesCleared: "crashes cleared",
+	broker.CrashesCleared: "crashes cleared", broker.PartRefused: "prompt part refused", broker.PartAllowed: "prompt part allowed again",
 }
 
 // logCrashSteps logs and counts the steps of crash detection since the last call.
@@ -71,7 +73,7 @@
 // flushCrashes sends new crash records to all other hosts, since any of them may be
 // the next leader.
 func (c *Coordinator) flushCrashes(now time.Time) {
-	m := CrashRecords{c.broker.NewCrashes(now), c.broker.NewAnswers(now)}
+	m := CrashRecords{c.broker.NewCrashes(now), c.broker.NewAnswers(now), c.broker.NewPartRecords(now)}
 	if m.empty() {
 		return
 	}
@@ -156,7 +158,7 @@
 		s.QuotaUsage = c.usage.Entries(now)
 	}
 	for id, g := range c.running {
-		s.Running = append(s.Running, broker.RunningRequest{ID: id, Target: g.target})
+		s.Running = append(s.Running, broker.RunningRequest{ID: id, Target: g.target, SharedParts: g.parts})
 	}
 	for id, p := range c.pending {
 		s.Requests = append(s.Requests, c.withTimeLeft(now, id, p, p.sent && known))
@@ -182,7 +184,7 @@
 
 // sendAllCrashes sends all crash records to a host that may have missed some.
 func (c *Coordinator) sendAllCrashes(now time.Time, host netip.AddrPort) {
-	m := CrashRecords{c.broker.AllCrashes(now), c.broker.AllAnswers(now)}
+	m := CrashRecords{c.broker.AllCrashes(now), c.broker.AllAnswers(now), c.broker.AllPartRecords(now)}
 	if !m.empty() && host != c.self() {
 		c.mesh.Send(host, methodCrashes, pack.Of(m))
 	}
@@ -191,6 +193,7 @@
 func (c *Coordinator) handleCrashes(now time.Time, m CrashRecords) {
 	c.broker.MergeAnswers(now, m.Answers)
 	c.broker.MergeCrashes(now, m.Crashes)
+	c.broker.MergePartRecords(now, m.Parts)
 }
 
 // handleRequests applies a host's updates to the broker. If the broker does not have
@@ -248,13 +251,13 @@
 		p := c.pending[g.ID]
 		if p == nil {
 			// Cancelled, or already granted by a former leader: return this grant unused.
-			if from == c.leader && c.running[g.ID] == (grantedRequest{}) {
+			if _, running := c.running[g.ID]; from == c.leader && !running {
 				c.outgoing.Completions = append(c.outgoing.Completions, broker.Completion{ID: g.ID, Target: g.Target, Outcome: broker.Unused})
 			}
 			continue
 		}
 		delete(c.pending, g.ID)
-		run := grantedRequest{target: g.Target}
+		run := grantedRequest{target: g.Target, parts: p.request.SharedParts}
 		if !p.request.Resubmitted && p.request.QuotaTokens > 0 {
 			run.workspace, run.tokens = p.request.Workspace, p.request.QuotaTokens
 			c.usage.Add(c.settings.Now(), run.workspace, run.tokens)
--- a/io/coord/requests.go
+++ b/io/coord/requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"yuccadoor/core/broker"
+	"yuccadoor/core/model"
 )
 
 // Decision is the outcome of a submitted request: a target to send it to, or a refusal.
@@ -18,6 +19,7 @@
 	target    string
 	workspace string
 	tokens    float64 // charged to the workspace's allowance by the grant
+	parts     model.PromptParts
 }
 
 // pendingRequest is a request that waits for its decision.
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -17,6 +17,8 @@
 // attemptResult describes how an attempt at one target ended.
 type attemptResult struct {
 	outcome         broker.Outcome
+	unframed        bool // the response ended with its connection only
+	inconclusive    bool // see broker.Completion
 	final           bool // the client has its final response, or has disconnected
 	mayHaveRun      bool
 	duration        time.Duration
@@ -100,6 +102,8 @@
 	} else {
 		r = c.forwardBody(ctx, response)
 	}
+	r.unframed = response.Unframed
+	r.inconclusive = response.Unframed || response.Status >= http.StatusMultipleChoices
 	r.coldRemaining = c.handler.Dialect.ColdRemaining(response.Header)
 	return r
 }
--- a/io/gate/breaks.go
+++ b/io/gate/breaks.go
@@ -29,6 +29,8 @@
 	switch r.outcome {
 	case broker.Broken:
 		return true
+	case broker.Good:
+		return r.unframed
 	case broker.Cancelled:
 		return r.mayHaveRun && r.idle >= minCrashIdle
 	}
@@ -43,6 +45,7 @@
 	}
 	run := broker.BrokenRun{
 		RequestID: c.info.ID, Content: c.content, SharedParts: c.info.SharedParts, Target: t.ID, Address: t.Address, Born: t.Born, EndedAt: c.handler.Now(), Took: r.duration,
+		Answered: r.outcome == broker.Good,
 	}
 	if !c.handler.brokenRuns.Offer(run) {
 		c.handler.Log.Event("warn", "broken run not checked for a crash", "Request", run.RequestID, "Content", run.Content, "Target", run.Target)
--- a/io/gate/call.go
+++ b/io/gate/call.go
@@ -160,6 +160,7 @@
 		c.handler.Coord.ReportCompletion(broker.Completion{
 			ID: id, Target: target.ID, Outcome: result.outcome,
 			Took: result.duration, TimeToFirstPart: result.timeToFirstPart, OutputTokens: c.events, ColdLeft: result.coldRemaining, MaxEventGap: result.maxGap,
+			Inconclusive: result.inconclusive,
 		})
 		if result.outcome.NotRun() {
 			c.charged = c.chargedBefore
@@ -218,7 +219,7 @@
 		Service: c.service, Tier: routes.TierOf(c.route, c.workspace), Class: c.route.Tier, Zone: c.handler.Zone,
 		StartWithin: c.arrived.Add(c.route.Objective).Sub(now), ExpiresIn: c.startDeadline.Sub(now),
 		PromptTokens: c.info.PromptTokens, OutputTokens: c.info.MaxOutputTokens, ExcludedTargets: c.excludedTargets, Resubmitted: c.charged,
-		Content: c.content, MaxEventGap: c.route.Pause,
+		Content: c.content, SharedParts: c.info.SharedParts, MaxEventGap: c.route.Pause,
 	}
 	if c.info.ExpectedOutputTokens > 0 {
 		r.OutputTokens = min(c.info.ExpectedOutputTokens, c.info.MaxOutputTokens)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -144,6 +144,9 @@
 	Stream bool // the body is an event stream
 	NotRun bool // the target states that it did not run the request
 	Reused bool // the connection had carried another request before
+	// Unframed is set if the body has neither a length nor chunks: its end cannot be
+	// told from an orderly close by a target that stops within it.
+	Unframed bool
 
 	sender      *Sender
 	call        *Call
@@ -254,6 +257,7 @@
 		}
 		r.resp = resp
 		r.Status, r.Header = resp.StatusCode, resp.Header
+		r.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		r.Stream = strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
 		r.NotRun = resp.Header.Get(r.sender.names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 		return nil
