Headers of targets that are unknown are counted and logged

Whatever a target said of itself in a header that the adapter did not know was dropped without a line: a limit named by a server looked the same as none. Such headers count as target notices of kind Unknown; each name is logged once a process, for 32 names at most.

--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -96,6 +96,7 @@
 	}
 	defer response.Close()
 	c.handleNotice(t, response)
+	c.reportUnknownNotices(t, response)
 	var r attemptResult
 	if response.Stream && response.Status == http.StatusOK {
 		r = c.forwardStream(ctx, response)
@@ -129,6 +130,17 @@
 	c.handler.Coord.ReportNotice(n)
 }
 
+// reportUnknownNotices counts the headers by which a target says something about itself
+// that this host does not understand, and logs each name once.
+func (c *call) reportUnknownNotices(t *roster.Target, response *relay.Response) {
+	for _, name := range c.handler.Dialect.UnknownNotices(response.Header) {
+		c.handler.Recorder.RecordNotice(NoticeUnknown)
+		if c.handler.isNewUnknown(name) {
+			c.handler.Log.Event("warn", "unknown target notice", "Header", name, "Value", response.Header.Get(name), "Request", c.info.ID, "Target", t.ID, "Status", response.Status)
+		}
+	}
+}
+
 // orCancelled returns the outcome, or Cancelled if the request's time is over or its
 // client has disconnected.
 func orCancelled(ctx context.Context, o broker.Outcome) broker.Outcome {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -41,6 +41,8 @@
 	responseMargin = 100 * time.Millisecond
 	// maxSends limits how often a request is sent to targets that then reject it.
 	maxSends = 4
+	// maxUnknownNames limits the names of unknown headers that are logged.
+	maxUnknownNames = 32
 )
 
 // Coordinator assigns requests to targets.
@@ -91,6 +93,9 @@
 	// target. The error describes what was ignored: unreadable values, or a response
 	// of another target.
 	ParseNotice(target string, status int, h http.Header) (notice.Notice, error)
+	// UnknownNotices returns the names of the headers by which a response says something
+	// about its target that ParseNotice does not read.
+	UnknownNotices(h http.Header) []string
 	HeaderNames() relay.HeaderNames
 }
 
@@ -112,6 +117,7 @@
 	NoticeLeaving NoticeKind = "Leaving"
 	NoticePause   NoticeKind = "Pause"
 	NoticeIgnored NoticeKind = "Ignored" // unreadable, or in a response of another target
+	NoticeUnknown NoticeKind = "Unknown" // in a header that the dialect does not know
 )
 
 // Outcome describes how a request ended.
@@ -142,14 +148,15 @@
 // Handler is the http.Handler of clients' requests.
 type Handler struct {
 	Settings
-	mu         sync.Mutex // guards Settings.Budget
+	mu         sync.Mutex // also guards Settings.Budget
 	stopping   chan struct{}
+	unknown    map[string]bool               // guarded by mu; names of unknown headers that were logged
 	brokenRuns *ring.Queue[broker.BrokenRun] // that may have crashed their target
 }
 
 // New starts a handler and returns it with its cleanup function.
 func New(ctx context.Context, s Settings) (*Handler, func()) {
-	h := &Handler{Settings: s, stopping: make(chan struct{}), brokenRuns: ring.New[broker.BrokenRun](brokenRunQueueSize)}
+	h := &Handler{Settings: s, stopping: make(chan struct{}), unknown: map[string]bool{}, brokenRuns: ring.New[broker.BrokenRun](brokenRunQueueSize)}
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -198,6 +205,18 @@
 	h.Budget.RecordRequest(h.Now(), service)
 }
 
+// isNewUnknown reports whether the name of an unknown header is to be logged: on its
+// first appearance, for at most maxUnknownNames names.
+func (h *Handler) isNewUnknown(name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.unknown[name] || len(h.unknown) >= maxUnknownNames {
+		return false
+	}
+	h.unknown[name] = true
+	return true
+}
+
 // takeRetry takes a retry from the budget and reports whether there was one.
 func (h *Handler) takeRetry(service string) bool {
 	h.mu.Lock()
