A limit that a target names holds over all hosts

What the users saw: servers that had named a limit of 1.3 or 1.9 requests a second got 17 and 18 in 4 s.

Cause: the header was unknown, and nothing held a limit for all hosts together.

The leader grants such a target one request per interval of its limit, and its share of the limit if it reaches a part of the fleet only. It tells all hosts; they hand the limit over to a new leader, which waits an interval before its first grant. The limit ends with an answer that names none to a request sent after it was known, or with another start of the target. Estimates of waiting time count with the limit, and requests that would wait in vain are refused (TargetLimit).

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -126,7 +126,7 @@
 			b.targets[id] = t
 		}
 		t.published = published
-		t.notice = b.notices.Lookup(published)
+		b.setNotice(now, t)
 	}
 	b.settleBrokenRuns(now)
 	b.matchAll(now)
--- a/core/broker/notice_test.go
+++ b/core/broker/notice_test.go
@@ -84,3 +84,80 @@
 	assert.Equal(t, r.Cause, "NoTarget")
 	assert.Equal(t, len(s.b.roster.ForService("engine")), 1)
 }
+
+// grantedWithin keeps a queue of requests for a target with a limit and returns how many
+// are granted within a duration.
+func (s *simulation) grantedWithin(d time.Duration) int {
+	ids, granted := map[uint64]bool{}, 0
+	for end := s.now.Add(d); s.now.Before(end); s.advance(50 * time.Millisecond) {
+		for len(ids) < 4 {
+			ids[s.submit(hostA, Request{})] = true
+		}
+		for id := range ids {
+			if s.granted(hostA, id) != "" {
+				granted++
+				s.complete(hostA, id, Good, time.Millisecond)
+				delete(ids, id)
+			} else if s.refused(hostA, id) != nil {
+				delete(ids, id)
+			}
+		}
+	}
+	return granted
+}
+
+// A limit holds over all hosts: a leader uses the share of the fleet that it reaches, and
+// one that has just begun waits before its first grant.
+func TestLimitOfATargetPacesItsGrants(t *testing.T) {
+	limited := notice.Notice{Target: "t0", Limit: 2}
+	for _, c := range []struct {
+		name     string
+		notices  []notice.Notice
+		alive    int // of four hosts
+		min, max int // grants in 10 s
+	}{
+		{"no limit", nil, 4, 100, 1000},
+		{"limit", []notice.Notice{limited}, 4, 18, 20},
+		{"half of the fleet", []notice.Notice{limited}, 2, 9, 10},
+		{"a host alone", []notice.Notice{limited}, 1, 4, 5},
+		{"changed limit", []notice.Notice{limited, {Target: "t0", Limit: 1}}, 4, 9, 11},
+		{"limit that has ended", []notice.Notice{limited, {Target: "t0", Unlimited: true}}, 4, 100, 1000},
+		{"endless number", []notice.Notice{{Target: "t0", Limit: 1e300}}, 4, 100, 1000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSimulation(1)
+			s.b.SetReachableShare(c.alive, 4)
+			for _, n := range c.notices {
+				s.b.RecordNotice(s.now, hostA, n)
+			}
+			if first := s.submit(hostA, Request{}); c.max < 100 {
+				assert.Equal(t, s.granted(hostA, first), "")
+				s.b.Cancel(hostA, first)
+			}
+			got := s.grantedWithin(10 * time.Second)
+			assert.Assert(t, got >= c.min && got <= c.max, "%d grants", got)
+		})
+	}
+}
+
+// Work that a limited target cannot take goes elsewhere, or is refused with the wait for
+// its turn.
+func TestRequestsAreNotHeldForATargetWithALimit(t *testing.T) {
+	for _, targets := range []int{1, 2} {
+		s := newSimulation(targets)
+		s.b.RecordNotice(s.now, hostA, notice.Notice{Target: "t0", Limit: 0.2})
+		var ids []uint64
+		for range 3 {
+			ids = append(ids, s.submit(hostA, Request{ExpiresIn: 2 * time.Second}))
+		}
+		s.advance(50 * time.Millisecond)
+		for i, id := range ids {
+			switch r := s.refused(hostA, id); {
+			case targets == 2 && i < 2:
+				assert.Equal(t, s.granted(hostA, id), "t1")
+			case targets == 1:
+				assert.Assert(t, r != nil && r.Cause == "TargetLimit" && r.RetryAfter > time.Second, "%v", r)
+			}
+		}
+	}
+}
--- a/core/broker/shed.go
+++ b/core/broker/shed.go
@@ -27,20 +27,21 @@
 	if len(queue) == 0 {
 		return
 	}
-	unitsPerSecond := b.throughput(now, service)
+	unitsPerSecond := b.throughput(now, service, meanCost(queue))
 	slices.SortStableFunc(queue, func(x, y *queuedRequest) int { return b.compare(now, x, y) })
 	unitsAhead := 0.0
 	kept := queue[:0]
 	for _, q := range queue {
 		remaining := q.expiresAt.Sub(now)
 		unavailable := b.unavailableFor(now, service, q.host, q.request.ExcludedTargets)
-		wait := unavailable
+		limited := b.limitedFor(now, service, q.host, q.request.ExcludedTargets)
+		wait := unavailable + limited
 		if unitsPerSecond > 0 {
 			wait += time.Duration(unitsAhead / unitsPerSecond * float64(time.Second))
 		}
 		if remaining <= 0 || float64(wait) > maxWaitShare*float64(remaining) {
 			b.returnTokens(q)
-			b.refuse(q.requestKey, Refusal{ID: q.request.ID, RetryAfter: b.refusalRetryAfter(now, q, wait), ExpectedWait: wait, Cause: refusalCause(remaining, unavailable)})
+			b.refuse(q.requestKey, Refusal{ID: q.request.ID, RetryAfter: b.refusalRetryAfter(now, q, wait), ExpectedWait: wait, Cause: refusalCause(remaining, unavailable, limited)})
 			continue
 		}
 		unitsAhead += q.cost
@@ -51,10 +52,12 @@
 }
 
 // refusalCause names the reason of a refusal.
-func refusalCause(remaining, unavailable time.Duration) string {
+func refusalCause(remaining, unavailable, limited time.Duration) string {
 	switch {
 	case unavailable > 0:
 		return "NoTarget"
+	case limited > 0:
+		return "TargetLimit"
 	case remaining <= 0:
 		return "TimeOver"
 	}
@@ -66,12 +69,26 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// throughput is how many units of work a service completes per second.
-func (b *Broker) throughput(now time.Time, service string) float64 {
+// meanCost returns the mean cost of the requests in a queue that is not empty.
+func meanCost(queue []*queuedRequest) float64 {
+	sum := 0.0
+	for _, q := range queue {
+		sum += q.cost
+	}
+	return sum / float64(len(queue))
+}
+
+// throughput is how many units of work a service completes per second, given the mean
+// cost of its requests.
+func (b *Broker) throughput(now time.Time, service string, requestCost float64) float64 {
 	sum := 0.0
 	for _, p := range b.roster.ForService(service) {
 		if t := b.targets[p.ID]; t != nil && !t.notice.Leaving() && t.blockedForAll(now) == 0 {
-			sum += float64(t.slots(b)) * float64(time.Second) / float64(t.unitTime())
+			units := float64(t.slots(b)) * float64(time.Second) / float64(t.unitTime())
+			if limit, ok := t.notice.Limit(); ok {
+				units = min(units, limit*requestCost)
+			}
+			sum += units
 		}
 	}
 	return sum
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -63,6 +63,7 @@
 	ejectedUntil        time.Time     // after too many failures
 	coldUntil           time.Time     // as reported with an answer
 	nextColdGrant       time.Time     // when a cold target may be granted its next request
+	nextLimitedGrant    time.Time     // when a target that named a limit may be granted its next request
 	notice              *notice.State // what it reported of itself; nil for nothing
 	// prefillUntil is the estimated time at which all granted prompts are read;
 	// engines read them one after the other.
@@ -72,6 +73,9 @@
 	allowedEventGap time.Duration
 }
 
+// minReachableShare is the lowest share of limits over all hosts that is used.
+const minReachableShare = 0.01
+
 // connectBackoff is a host's backoff after failures to connect to a target.
 type connectBackoff struct {
 	failures int // consecutive
@@ -136,6 +140,9 @@
 	if now.Before(t.rejectedUntil) && t.running > 0 {
 		return false
 	}
+	if _, limited := t.notice.Limit(); limited && now.Before(t.nextLimitedGrant) {
+		return false
+	}
 	return !t.cold(now) || !now.Before(t.nextColdGrant)
 }
 
@@ -153,11 +160,14 @@
 func (t *target) recordGrant(now time.Time, b *Broker, q *queuedRequest) {
 	t.prefillUntil = now.Add(t.prefillBacklog(now) + b.prefillTime(q, t))
 	t.recordAllowedEventGap(q)
+	if interval := b.limitInterval(t); interval > 0 {
+		t.nextLimitedGrant = now.Add(interval)
+	}
 	s := b.config.Service(t.published.Service)
 	if s == nil || s.ColdPerSecond <= 0 || !t.cold(now) {
 		return
 	}
-	interval := time.Duration(float64(time.Second) / (s.ColdPerSecond * max(b.reachableShare, 0.01)))
+	interval := time.Duration(float64(time.Second) / (s.ColdPerSecond * max(b.reachableShare, minReachableShare)))
 	t.nextColdGrant = now.Add(interval)
 }
 
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -1,7 +1,7 @@
 // Package notice stores what targets report of themselves with their answers:
-// that they are leaving, or that a host should send them nothing for a time. This
-// covers servers that shut down or are overloaded while the published list of
-// targets is out of date. The package does no I/O; one goroutine owns a Store,
+// that they are leaving, that a host should send them nothing for a time, or how many
+// requests they take from all hosts together. This covers servers that shut down or
+// are overloaded while the published list of targets is out of date. The package does no I/O; one goroutine owns a Store,
 // and others read the Restrictions of their host.
 package notice
 
@@ -20,6 +20,9 @@
 	// MaxPause limits a pause: one answer keeps a host from a target no longer
 	// than a content that crashes targets is refused.
 	MaxPause = 10 * time.Minute
+	// MinLimit is the lowest limit that is kept, in requests a second: only an answer
+	// tells that a limit has ended.
+	MinLimit = 0.1
 	// maxTargets limits the number of targets in a Store: several times that of
 	// the largest deployment, at some 100 B each.
 	maxTargets = 4096
@@ -35,10 +38,18 @@
 	Born    uint64        `cbor:"2,keyasint,omitempty"` // its lifetime, as published when the request was sent
 	Leaving bool          `cbor:"3,keyasint,omitempty"`
 	Pause   time.Duration `cbor:"4,keyasint,omitempty"` // from receipt on, for the host that received the answer
+	// Limit is the number of requests a second that the target takes from all hosts
+	// together; 0 if the answer names none.
+	Limit float64 `cbor:"5,keyasint,omitempty"`
+	// Unlimited is set if the target had named a limit and names none any more.
+	Unlimited bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Empty reports whether the notice contains nothing.
-func (n Notice) Empty() bool { return !n.Leaving && n.Pause <= 0 }
+func (n Notice) Empty() bool { return n.Pause <= 0 && !n.ForAllHosts() }
+
+// ForAllHosts reports whether the notice contains something that concerns all hosts.
+func (n Notice) ForAllHosts() bool { return n.Leaving || n.Limit > 0 || n.Unlimited }
 
 // State is what one lifetime of a target has reported of itself. A nil State has
 // no reports.
@@ -47,6 +58,17 @@
 	lastNotice time.Time
 	leaving    bool
 	pauses     map[netip.AddrPort]time.Time // end of the pause, by host
+	limit      float64                      // requests a second; 0 for none
+	limitedAt  time.Time                    // when the limit became known
+}
+
+// Limit returns the number of requests a second that the target takes from all hosts
+// together, and whether there is such a limit.
+func (s *State) Limit() (perSecond float64, ok bool) {
+	if s == nil || s.limit == 0 {
+		return 0, false
+	}
+	return s.limit, true
 }
 
 // Leaving reports whether the target has reported that it is leaving.
@@ -77,7 +99,21 @@
 
 // covers reports whether a notice adds nothing to the state for a host.
 func (s *State) covers(now time.Time, host netip.AddrPort, n Notice) bool {
-	return (s.leaving || !n.Leaving) && s.PauseLeft(now, host) >= n.Pause
+	return (s.leaving || !n.Leaving) && s.PauseLeft(now, host) >= n.Pause &&
+		(n.Limit == 0 || n.Limit == s.limit) && (!n.Unlimited || s.limit == 0)
+}
+
+// setLimit applies what a notice says of the target's limit.
+func (s *State) setLimit(now time.Time, n Notice) {
+	switch {
+	case n.Limit > 0:
+		if s.limit == 0 {
+			s.limitedAt = now
+		}
+		s.limit = n.Limit
+	case n.Unlimited:
+		s.limit = 0
+	}
 }
 
 // Store holds the states of all targets. It keeps them when entries leave the
@@ -92,6 +128,9 @@
 // Record stores a notice that a host received, and reports whether it was new.
 func (s *Store) Record(now time.Time, host netip.AddrPort, n Notice) bool {
 	n.Pause = min(n.Pause, MaxPause)
+	if n.Limit > 0 {
+		n.Limit = max(n.Limit, MinLimit)
+	}
 	if n.Empty() {
 		return false
 	}
@@ -109,6 +148,7 @@
 		return false
 	}
 	state.leaving = state.leaving || n.Leaving
+	state.setLimit(now, n)
 	if until := now.Add(n.Pause); n.Pause > 0 && until.After(state.pauses[host]) {
 		state.pauses[host] = until
 	}
@@ -137,8 +177,8 @@
 	return nil
 }
 
-// Handover returns what a host reports to a new leader: all targets that are
-// leaving, and the pauses that this host was asked for; the most recent ones if
+// Handover returns what a host reports to a new leader: all targets that are leaving
+// or have a limit, and the pauses that this host was asked for; the most recent ones if
 // there are too many.
 func (s *Store) Handover(now time.Time, host netip.AddrPort) []Notice {
 	ids := slices.SortedFunc(maps.Keys(s.targets), func(x, y string) int {
@@ -147,7 +187,7 @@
 	var all []Notice
 	for _, id := range ids {
 		state := s.targets[id]
-		n := Notice{Target: id, Born: state.born, Leaving: state.leaving, Pause: state.PauseLeft(now, host)}
+		n := Notice{Target: id, Born: state.born, Leaving: state.leaving, Pause: state.PauseLeft(now, host), Limit: state.limit}
 		if !n.Empty() && len(all) < maxHandover {
 			all = append(all, n)
 		}
@@ -166,6 +206,8 @@
 	born    uint64
 	leaving bool
 	until   time.Time // end of the pause
+	// limitedAt is when a limit became known here; zero for none.
+	limitedAt time.Time
 }
 
 // RestrictionsFor returns the restrictions of a host. It drops pauses that are
@@ -174,8 +216,12 @@
 	r := &Restrictions{targets: map[string]restriction{}}
 	for id, state := range s.targets {
 		maps.DeleteFunc(state.pauses, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
-		if state.leaving || !state.pauses[host].IsZero() {
-			r.targets[id] = restriction{state.born, state.leaving, state.pauses[host]}
+		entry := restriction{born: state.born, leaving: state.leaving, until: state.pauses[host]}
+		if state.limit > 0 {
+			entry.limitedAt = state.limitedAt
+		}
+		if state.leaving || state.limit > 0 || !entry.until.IsZero() {
+			r.targets[id] = entry
 		}
 	}
 	return r
@@ -190,6 +236,18 @@
 	return ok && t.Born <= entry.born && (entry.leaving || now.Before(entry.until))
 }
 
+// LimitedAt returns when the limit of a target became known; the zero time if it has
+// none.
+func (r *Restrictions) LimitedAt(t *roster.Target) time.Time {
+	if r == nil {
+		return time.Time{}
+	}
+	if entry, ok := r.targets[t.ID]; ok && t.Born <= entry.born {
+		return entry.limitedAt
+	}
+	return time.Time{}
+}
+
 // Counts returns the number of targets that are leaving, and of those that want
 // no requests from the host now.
 func (r *Restrictions) Counts(now time.Time) (leaving, paused int) {
--- a/core/notice/notice_test.go
+++ b/core/notice/notice_test.go
@@ -166,3 +166,44 @@
 		}
 	})
 }
+
+func TestLimit(t *testing.T) {
+	limited, ended := Notice{Target: "t", Born: 1, Limit: 1.5}, Notice{Target: "t", Born: 1, Unlimited: true}
+	for _, c := range []struct {
+		name     string
+		received []Notice
+		born     uint64 // lifetime published at that time
+		want     float64
+		isNew    bool // the last notice
+	}{
+		{"named", []Notice{limited}, 1, 1.5, true},
+		{"named again", []Notice{limited, limited}, 1, 1.5, false},
+		{"changed", []Notice{limited, {Target: "t", Born: 1, Limit: 4}}, 1, 4, true},
+		{"ended", []Notice{limited, ended}, 1, 0, true},
+		{"ended twice", []Notice{limited, ended, ended}, 1, 0, false},
+		{"restarted since", []Notice{limited}, 2, 0, true},
+		{"late notice of the previous process", []Notice{{Target: "t", Born: 2, Leaving: true}, limited}, 2, 0, false},
+		{"pause of a target with a limit", []Notice{limited, {Target: "t", Born: 1, Pause: time.Second}}, 1, 1.5, true},
+		{"close to zero", []Notice{{Target: "t", Born: 1, Limit: 1e-9}}, 1, MinLimit, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store, isNew := NewStore(), false
+			for _, n := range c.received {
+				isNew = store.Record(start, hostA, n)
+			}
+			target := &roster.Target{ID: "t", Born: c.born}
+			got, _ := store.Lookup(target).Limit()
+			assert.Equal(t, got, c.want)
+			assert.Equal(t, isNew, c.isNew)
+			if c.born == 1 {
+				assert.Equal(t, !store.RestrictionsFor(start, hostB).LimitedAt(target).IsZero(), c.want > 0)
+			}
+			next := NewStore()
+			for _, n := range store.Handover(start, hostB) {
+				next.Record(start, hostB, n)
+			}
+			got, _ = next.Lookup(target).Limit()
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -143,7 +143,7 @@
 	storeWasUp        bool      // the store was reachable since this host began to read it
 	stopping          bool
 	restrictions      *notice.Restrictions // which targets this host must not use, from their notices
-	leavingNotices    []notice.Notice      // not yet sent to other hosts
+	sharedNotices     []notice.Notice      // not yet sent to other hosts
 	departures        []roster.Departure   // read from the store, not yet sent to other hosts
 }
 
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -319,6 +319,43 @@
 	}
 }
 
+// Guards against a limit over all hosts being lost with the leader, or with the host that
+// was told of it.
+func TestLimitOfATargetIsKnownToTheNextLeader(t *testing.T) {
+	_, hosts, kill := startHosts(t, 4)
+	for _, c := range hosts {
+		awaitLeader(t, c, hostAt(0))
+	}
+	hosts[3].ReportNotice(notice.Notice{Target: "t0", Limit: 0.5})
+	limited := func(c *Coordinator) bool {
+		v := c.View()
+		return !v.Restrictions.LimitedAt(v.Roster.Targets["t0"]).IsZero()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !limited(hosts[1]) || !limited(hosts[2]) {
+			return poll.Continue("the limit is not known")
+		}
+		return poll.Success()
+	})
+	kill(3)
+	kill(0)
+	awaitLeader(t, hosts[2], hostAt(1))
+	granted := map[string]int{}
+	for range 8 {
+		id, d := submit(t, hosts[2], broker.Request{})
+		granted[d.Target]++
+		hosts[2].ReportCompletion(broker.Completion{ID: id, Target: d.Target, Outcome: broker.Good, Took: time.Millisecond})
+	}
+	assert.Assert(t, granted["t0"] <= 1, "%v", granted)
+	hosts[1].ReportNotice(notice.Notice{Target: "t0", Unlimited: true})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if limited(hosts[2]) {
+			return poll.Continue("the limit has not ended")
+		}
+		return poll.Success()
+	})
+}
+
 // A partitioned host becomes its own leader and must still honor the notices that it has
 // received.
 func TestPartitionedHostHonorsNotices(t *testing.T) {
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -179,7 +179,7 @@
 	c.applyNotices(now, host, s.Notices)
 	c.broker.Sync(now, host, s.Running, s.Requests)
 	c.sendAllCrashes(now, host)
-	c.sendLeavingNotices(now, host)
+	c.sendNotices(now, host)
 }
 
 // sendAllCrashes sends all crash records to a host that may have missed some.
--- a/io/coord/notice.go
+++ b/io/coord/notice.go
@@ -24,7 +24,7 @@
 }
 
 // applyNotices applies notices that a host received from targets. A leader forwards
-// those of leaving targets to all hosts, since any of them may be the next leader.
+// those that concern all hosts to them, since any of them may be the next leader.
 func (c *Coordinator) applyNotices(now time.Time, host netip.AddrPort, notices []notice.Notice) {
 	changed := false
 	for _, n := range notices {
@@ -32,10 +32,10 @@
 			continue
 		}
 		changed = true
-		c.settings.Log.Event("info", "target notice", "Target", n.Target, "Born", n.Born, "Host", host, "Leaving", n.Leaving, "Pause", n.Pause)
-		if n.Leaving && c.leader == c.self() {
+		c.settings.Log.Event("info", "target notice", "Target", n.Target, "Born", n.Born, "Host", host, "Leaving", n.Leaving, "Pause", n.Pause, "Limit", n.Limit, "Unlimited", n.Unlimited)
+		if n.ForAllHosts() && c.leader == c.self() {
 			n.Pause = 0 // a pause applies to one host only
-			c.leavingNotices = append(c.leavingNotices, n)
+			c.sharedNotices = append(c.sharedNotices, n)
 		}
 	}
 	if changed {
@@ -44,20 +44,20 @@
 	}
 }
 
-// flushNotices sends new notices of leaving targets to all other hosts.
+// flushNotices sends new notices that concern all hosts to the others.
 func (c *Coordinator) flushNotices(now time.Time) {
-	if len(c.leavingNotices) == 0 {
+	if len(c.sharedNotices) == 0 {
 		return
 	}
-	c.broadcast(now, methodNotices, pack.Of(c.leavingNotices))
-	c.leavingNotices = nil
+	c.broadcast(now, methodNotices, pack.Of(c.sharedNotices))
+	c.sharedNotices = nil
 }
 
-// sendLeavingNotices sends all notices of leaving targets to a host that may have missed
+// sendNotices sends all notices that concern all hosts to a host that may have missed
 // some.
-func (c *Coordinator) sendLeavingNotices(now time.Time, host netip.AddrPort) {
-	leaving := c.broker.HandoverNotices(now, netip.AddrPort{})
-	if len(leaving) > 0 && host != c.self() {
-		c.mesh.Send(host, methodNotices, pack.Of(leaving))
+func (c *Coordinator) sendNotices(now time.Time, host netip.AddrPort) {
+	known := c.broker.HandoverNotices(now, netip.AddrPort{})
+	if len(known) > 0 && host != c.self() {
+		c.mesh.Send(host, methodNotices, pack.Of(known))
 	}
 }
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -75,6 +75,7 @@
 	if c.workspace != nil {
 		f.Workspace = c.workspace.Name
 	}
+	sentAt := c.handler.Now()
 	response, sendErr := c.handler.Sender.Send(ctx, &relay.Call{
 		Target: t.Address, Method: c.request.Method, URI: c.request.RequestURI, Host: c.request.Host,
 		Header: c.handler.Dialect.ForwardHeader(c.request.Header, f), Body: c.body, ID: c.info.ID,
@@ -95,7 +96,7 @@
 		return attemptResult{outcome: orCancelled(ctx, broker.Broken), mayHaveRun: true, err: sendErr}
 	}
 	defer response.Close()
-	c.handleNotice(t, response)
+	c.handleNotice(t, response, sentAt)
 	c.reportUnknownNotices(t, response)
 	var r attemptResult
 	if response.Stream && response.Status == http.StatusOK {
@@ -111,7 +112,7 @@
 
 // handleNotice handles what a response's header says about its target. It is called
 // before anything of the response is forwarded.
-func (c *call) handleNotice(t *roster.Target, response *relay.Response) {
+func (c *call) handleNotice(t *roster.Target, response *relay.Response, sentAt time.Time) {
 	n, err := c.handler.Dialect.ParseNotice(t.ID, response.Status, response.Header)
 	if err != nil {
 		c.handler.Recorder.RecordNotice(NoticeIgnored)
@@ -123,6 +124,10 @@
 	if n.Pause > 0 {
 		c.handler.Recorder.RecordNotice(NoticePause)
 	}
+	if n.Limit > 0 {
+		c.handler.Recorder.RecordNotice(NoticeLimit)
+	}
+	n.Unlimited = n.Limit == 0 && err == nil && c.endsLimit(t, response, sentAt)
 	if n.Empty() {
 		return
 	}
@@ -130,6 +135,13 @@
 	c.handler.Coord.ReportNotice(n)
 }
 
+// endsLimit reports whether a response that names no limit ends the limit of its target.
+// One to a request that was sent before the limit was known may be older than the limit.
+func (c *call) endsLimit(t *roster.Target, response *relay.Response, sentAt time.Time) bool {
+	limitedAt := c.handler.Coord.View().Restrictions.LimitedAt(t)
+	return !limitedAt.IsZero() && sentAt.After(limitedAt) && c.handler.Dialect.VerifyOrigin(t.ID, response.Status, response.Header) == nil
+}
+
 // reportUnknownNotices counts the headers by which a target says something about itself
 // that this host does not understand, and logs each name once.
 func (c *call) reportUnknownNotices(t *roster.Target, response *relay.Response) {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -93,6 +93,9 @@
 	// target. The error describes what was ignored: unreadable values, or a response
 	// of another target.
 	ParseNotice(target string, status int, h http.Header) (notice.Notice, error)
+	// VerifyOrigin returns an error if a response to a request for a target cannot be
+	// attributed to that target.
+	VerifyOrigin(target string, status int, h http.Header) error
 	// UnknownNotices returns the names of the headers by which a response says something
 	// about its target that ParseNotice does not read.
 	UnknownNotices(h http.Header) []string
@@ -116,6 +119,7 @@
 const (
 	NoticeLeaving NoticeKind = "Leaving"
 	NoticePause   NoticeKind = "Pause"
+	NoticeLimit   NoticeKind = "Limit"
 	NoticeIgnored NoticeKind = "Ignored" // unreadable, or in a response of another target
 	NoticeUnknown NoticeKind = "Unknown" // in a header that the dialect does not know
 )
