Soak: parts of prompts that crash servers, and servers that name a limit

Two faults that are played alone, each with a host killed and restarted meanwhile; the load's prompts share the other parts. Two tampered runs show that the checks see both.

With them nine runs are played at once in one process, which shared addresses of eight (bind: address already in use); there are 16 now.

--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -66,6 +66,7 @@
 		(rate*stand.QuotaWindow.Seconds()+rate)*(1+stand.QuotaOvershoot)+stand.QuotaSlack)
 	r.checkRetries(runs)
 	r.checkCrashes()
+	r.checkLimits()
 	for _, q := range r.requests {
 		r.report.Requests++
 		r.checkRequest(q, runs[q.id])
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -62,6 +62,8 @@
 		{faultServersLeave, func(r *run, _ int) func() { r.leaveExclusively(); return nil }},
 		{faultServerAnnounces, func(r *run, _ int) func() { r.announceLeaving(); return nil }},
 		{faultRequestCrashes, func(r *run, _ int) func() { r.crashServers(); return nil }},
+		{faultPartCrashes, func(r *run, _ int) func() { r.crashServersByPart(); return nil }},
+		{faultServerLimit, func(r *run, _ int) func() { r.limitServer(); return nil }},
 	}
 	if enabled := slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !r.enabled(f.name) }); len(enabled) > 0 {
 		faults = enabled
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -83,11 +83,12 @@
 	start        time.Time
 
 	mu          sync.Mutex
-	requests    []*request  // guarded by mu
-	report      Report      // guarded by mu
-	faultsEnded time.Time   // guarded by mu; when the last fault ended
-	departures  []departure // guarded by mu
-	crashPaths  []string    // guarded by mu; paths of the requests that crash servers
+	requests    []*request    // guarded by mu
+	report      Report        // guarded by mu
+	faultsEnded time.Time     // guarded by mu; when the last fault ended
+	departures  []departure   // guarded by mu
+	crashes     []crashSeries // guarded by mu
+	limits      []limitSpan   // guarded by mu
 }
 
 // request is one request of the load with the reply that its caller received.
@@ -228,7 +229,7 @@
 // newAddressRange returns the number of a range of loopback addresses that no
 // concurrent run uses.
 func newAddressRange() uint32 {
-	const perProcess = 8 // concurrent runs in one process
+	const perProcess = 16 // concurrent runs in one process
 	return uint32(os.Getpid())*perProcess + runCount.Add(1)%perProcess
 }
 
@@ -316,7 +317,7 @@
 		r.requests = append(r.requests, q)
 		r.mu.Unlock()
 		pending.Go(func() {
-			reply := stand.Send(context.WithoutCancel(ctx), h.node.Front, "POST", route.Prefix+"x", q.id, key, "body", clientTimeout)
+			reply := stand.Send(context.WithoutCancel(ctx), h.node.Front, "POST", route.Prefix+"x", q.id, key, "body", clientTimeout, stand.Prompt(q.id, sharedParts...))
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			q.reply, q.answered = reply, time.Now()
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -35,6 +35,8 @@
 	}{
 		{1, "nothing", nil},
 		{4003, "a request without a body crashed servers 17 times", []string{faultRequestCrashes}},
+		{5101, "requests with one part in common crashed servers 19 times", []string{faultPartCrashes}},
+		{5102, "a server that named a limit of 1 got 12 requests in 4 s", []string{faultServerLimit}},
 	} {
 		r, err := Run(context.Background(), Settings{Program: path, Hosts: 3, Seed: c.seed, Length: 6 * time.Second, Only: c.only})
 		assert.NilError(t, err)
@@ -57,6 +59,8 @@
 		{"Left", faultServersLeave, "after it had left"},
 		{"Left", faultServerAnnounces, "after it had left"},
 		{"Crash", faultRequestCrashes, "crashed servers"},
+		{"Crash", faultPartCrashes, "part bad0"},
+		{"Limit", faultServerLimit, "limit of server-"},
 		{"Quota", "settings reloaded", "the rate-limited workspace:"},
 	} {
 		t.Run(c.tamper+", "+c.only, func(t *testing.T) {
