--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -180,9 +180,11 @@
 // crashesChanged refuses the waiting requests that may no longer run. Crashes that a
 // refused part explains are not the fault of the requests that ran beside it.
 func (b *Broker) crashesChanged(now time.Time) {
-	b.crashes.Forgive(func(target netip.AddrPort, sentAt, at time.Time) bool {
-		return b.parts.Explains(now, target, sentAt, at)
-	})
+	if b.parts.Refuses(now) {
+		b.crashes.Forgive(func(target netip.AddrPort, sentAt, at time.Time) bool {
+			return b.parts.Explains(now, target, sentAt, at)
+		})
+	}
 	b.reportPartChanges(now)
 	for service, queue := range b.queues {
 		b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool {
--- a/core/parts/parts.go
+++ b/core/parts/parts.go
@@ -62,8 +62,12 @@
 
 // crashEvent is one crash of a target.
 type crashEvent struct {
-	target netip.AddrPort
-	runs   []run // at least one
+	target  netip.AddrPort
+	endedAt time.Time // when the first of its runs broke off
+	runs    []run     // at least one
+	// lastSentAt is when the last of the broken requests with a part was sent, for each
+	// part to which the crash is attributed.
+	lastSentAt map[model.PromptPart]time.Time
 }
 
 // includes reports whether a run broke off in this crash: the runs overlap, within
@@ -79,11 +83,6 @@
 	})
 }
 
-// end is when the first of its runs broke off.
-func (e *crashEvent) end() time.Time {
-	return slices.MinFunc(e.runs, func(x, y run) int { return x.at.Compare(y.at) }).at
-}
-
 // refusal is the state of a part that is or was refused.
 type refusal struct {
 	crashedAt time.Time // its latest crash
@@ -96,8 +95,9 @@
 	process  uint64 // identifies this process in the ids of its records
 	serial   uint64 // of the last crash reported here
 	events   []*crashEvent
-	answered map[model.PromptPart]time.Time // last complete answers to parts with crashes
-	sound    recentParts                    // that were answered, completely as far as is known
+	byPart   map[model.PromptPart][]*crashEvent // that are attributed to a part
+	answered map[model.PromptPart]time.Time     // last complete answers to parts with crashes
+	sound    recentParts                        // that were answered, completely as far as is known
 	refusals map[model.PromptPart]refusal
 	changes  []Change
 	// unsentRuns and unsentAnswers were reported here and not yet returned by TakeNew.
@@ -114,12 +114,10 @@
 
 func (s *recentParts) contains(p model.PromptPart) bool { return s.current[p] || s.former[p] }
 
-// add adds a part and reports whether it is new.
-func (s *recentParts) add(p model.PromptPart) bool {
+func (s *recentParts) add(p model.PromptPart) {
 	if s.current[p] {
-		return false
+		return
 	}
-	isNew := !s.former[p]
 	if len(s.current) >= maxSound {
 		s.former, s.current = s.current, nil
 	}
@@ -127,7 +125,6 @@
 		s.current = map[model.PromptPart]bool{}
 	}
 	s.current[p] = true
-	return isNew
 }
 
 // targetRun is a run with its target.
@@ -138,7 +135,7 @@
 
 // NewRecords returns empty records. No other process has the same processID.
 func NewRecords(processID uint64) *Records {
-	return &Records{process: processID, answered: map[model.PromptPart]time.Time{}, refusals: map[model.PromptPart]refusal{}}
+	return &Records{process: processID, byPart: map[model.PromptPart][]*crashEvent{}, answered: map[model.PromptPart]time.Time{}, refusals: map[model.PromptPart]refusal{}}
 }
 
 // RecordCrash records that a target crashed at a time while it ran a request with
@@ -162,10 +159,16 @@
 	i := slices.IndexFunc(r.events, func(e *crashEvent) bool { return e.includes(target, x) })
 	if i < 0 {
 		r.evict()
-		r.events = append(r.events, &crashEvent{target: target, runs: []run{x}})
-		return true
+		i = len(r.events)
+		r.events = append(r.events, &crashEvent{target: target, endedAt: x.at, lastSentAt: map[model.PromptPart]time.Time{}})
+	}
+	e := r.events[i]
+	for _, p := range x.parts {
+		if e.lastSentAt[p].IsZero() {
+			r.byPart[p] = append(r.byPart[p], e)
+		}
 	}
-	return r.events[i].add(x)
+	return e.add(x)
 }
 
 // add adds a run to a crash. Of several runs with the same parts the one that was sent
@@ -178,20 +181,68 @@
 	case i >= 0:
 		e.runs[i] = x
 	case len(e.runs) >= maxRunsPerCrash:
-		return false
+		e.runs[0] = x
 	default:
 		e.runs = append(e.runs, x)
 	}
+	if x.at.Before(e.endedAt) {
+		e.endedAt = x.at
+	}
+	for _, p := range x.parts {
+		if x.sentAt.After(e.lastSentAt[p]) {
+			e.lastSentAt[p] = x.sentAt
+		}
+	}
 	return true
 }
 
+// clear attributes the crash no longer to a part, in the runs that broke off by a time.
+func (e *crashEvent) clear(p model.PromptPart, until time.Time) {
+	if e.lastSentAt[p].IsZero() {
+		return
+	}
+	delete(e.lastSentAt, p)
+	for i := range e.runs {
+		x := &e.runs[i]
+		switch {
+		case !x.at.After(until):
+			x.parts = slices.DeleteFunc(slices.Clone(x.parts), func(q model.PromptPart) bool { return q == p })
+		case slices.Contains(x.parts, p) && x.sentAt.After(e.lastSentAt[p]):
+			e.lastSentAt[p] = x.sentAt
+		}
+	}
+	e.runs = slices.DeleteFunc(e.runs, func(x run) bool { return len(x.parts) == 0 })
+}
+
 // evict drops the oldest crash if there are too many.
 func (r *Records) evict() {
 	if len(r.events) < maxCrashes {
 		return
 	}
-	oldest := slices.MinFunc(r.events, func(x, y *crashEvent) int { return x.end().Compare(y.end()) })
-	r.events = slices.DeleteFunc(r.events, func(e *crashEvent) bool { return e == oldest })
+	oldest := slices.MinFunc(r.events, func(x, y *crashEvent) int { return x.endedAt.Compare(y.endedAt) })
+	r.retain(func(e *crashEvent) bool { return e != oldest })
+}
+
+// retain drops the crashes for which wanted returns false.
+func (r *Records) retain(wanted func(*crashEvent) bool) {
+	r.findings = nil
+	r.events = slices.DeleteFunc(r.events, func(e *crashEvent) bool {
+		if wanted(e) {
+			return false
+		}
+		for p := range e.lastSentAt {
+			r.removeFrom(p, e)
+		}
+		return true
+	})
+}
+
+// removeFrom removes a crash from those that are attributed to a part.
+func (r *Records) removeFrom(p model.PromptPart, e *crashEvent) {
+	r.byPart[p] = slices.DeleteFunc(r.byPart[p], func(x *crashEvent) bool { return x == e })
+	if len(r.byPart[p]) == 0 {
+		delete(r.byPart, p)
+	}
 }
 
 // RecordAnswer records that a target answered a request with shared parts completely,
@@ -201,9 +252,8 @@
 	if len(r.events)+len(r.refusals) == 0 || len(parts) == 0 {
 		return
 	}
-	f := r.conclude(now)
 	for _, p := range parts {
-		if _, refused := r.refusals[p]; (refused || f.attributed[p]) && r.clear(p, now) {
+		if _, refused := r.refusals[p]; (refused || len(r.byPart[p]) > 0) && r.clear(p, now) {
 			r.unsentAnswers = append(r.unsentAnswers, p)
 		}
 	}
@@ -213,9 +263,7 @@
 // have ended with its target.
 func (r *Records) RecordInconclusiveAnswer(parts model.PromptParts) {
 	for _, p := range parts {
-		if r.sound.add(p) {
-			r.findings = nil
-		}
+		r.sound.add(p)
 	}
 }
 
@@ -235,18 +283,12 @@
 	if f, ok := r.refusals[p]; ok && until.After(f.crashedAt) {
 		r.dropRefusal(p)
 	}
-	for _, e := range r.events {
-		for i := range e.runs {
-			if x := &e.runs[i]; !x.at.After(until) {
-				x.parts = slices.DeleteFunc(x.parts, func(q model.PromptPart) bool { return q == p })
-			}
+	for _, e := range slices.Clone(r.byPart[p]) {
+		if e.clear(p, until); e.lastSentAt[p].IsZero() {
+			r.removeFrom(p, e)
 		}
 	}
-	r.events = slices.DeleteFunc(r.events, func(e *crashEvent) bool {
-		e.runs = slices.DeleteFunc(e.runs, func(x run) bool { return len(x.parts) == 0 })
-		return len(e.runs) == 0
-	})
-	r.findings = nil
+	r.retain(func(e *crashEvent) bool { return len(e.runs) > 0 })
 	return true
 }
 
@@ -267,10 +309,9 @@
 	if now.Before(r.expireAt) {
 		return
 	}
-	r.events = slices.DeleteFunc(r.events, func(e *crashEvent) bool { return now.Sub(e.end()) >= expiry })
+	r.retain(func(e *crashEvent) bool { return now.Sub(e.endedAt) < expiry })
 	maps.DeleteFunc(r.answered, func(_ model.PromptPart, at time.Time) bool { return now.Sub(at) >= expiry })
 	maps.DeleteFunc(r.refusals, func(_ model.PromptPart, f refusal) bool { return now.Sub(f.until) >= refusalMemory })
-	r.findings = nil
 	r.expireAt = now.Add(expiryCheckPeriod)
 }
 
--- a/core/parts/parts_test.go
+++ b/core/parts/parts_test.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -309,3 +310,43 @@
 		}
 	})
 }
+
+// BenchmarkRequest decides on a request with three shared parts and records its answer,
+// without and with crashes of other parts.
+func BenchmarkRequest(b *testing.B) {
+	for _, crashes := range []int{0, 16, maxCrashes} {
+		b.Run(strconv.Itoa(crashes), func(b *testing.B) {
+			r := NewRecords(1)
+			for n := range crashes {
+				for m := range 20 {
+					r.RecordCrash(at(float64(n)/10), 50*ms, target(n), model.PromptParts{model.PromptPart(1000 + 20*n + m), model.PromptPart(100 + m)})
+				}
+			}
+			now, parts := at(float64(crashes)/10+1), model.PromptParts{1, 2, 3}
+			for b.Loop() {
+				r.Check(now, parts)
+				r.RecordAnswer(now, parts)
+			}
+		})
+	}
+}
+
+// BenchmarkCrash records one more run of a crash and concludes from it.
+func BenchmarkCrash(b *testing.B) {
+	for _, crashes := range []int{16, maxCrashes} {
+		b.Run(strconv.Itoa(crashes), func(b *testing.B) {
+			n := 0
+			r := NewRecords(1)
+			report := func() {
+				r.RecordCrash(at(float64(n/20)/10), 50*ms, target(n/20), model.PromptParts{model.PromptPart(1000 + n), model.PromptPart(100 + n%20)})
+				n++
+			}
+			for range 20 * crashes {
+				report()
+			}
+			for b.Loop() {
+				report()
+			}
+		})
+	}
+}
--- a/core/parts/verdict.go
+++ b/core/parts/verdict.go
@@ -22,15 +22,7 @@
 // findings are the conclusions from the records.
 type findings struct {
 	validUntil time.Time
-	attributed map[model.PromptPart]bool // parts to which a crash is attributed
-	// suspects are the parts that have reached their suspectThreshold, without the crashes
-	// that a refused part explains. Each comes with the parts that explain its crashes as
-	// well: if requests with these do not run at the same time, the next crash tells which
-	// of them it is.
-	suspects map[model.PromptPart]model.PromptParts
-	// explanations are all the parts to which these crashes are attributed, for each part
-	// that has reached refusalThreshold.
-	explanations map[model.PromptPart]model.PromptParts
+	explained  map[*crashEvent]bool // crashes that a refused part explains
 }
 
 // Check returns the verdict on a request.
@@ -48,41 +40,75 @@
 			v.Suspects = append(v.Suspects, p)
 			continue
 		}
-		if all, ok := f.explanations[p]; ok && containsAll(parts, all) {
+		events := unexplained(r.crashesOf(p), f.explained)
+		if containsExplanation(now, p, parts, events) {
 			return Verdict{Refused: true}
 		}
-		v.Suspects = append(v.Suspects, f.suspects[p]...)
+		v.Suspects = append(v.Suspects, r.suspects(p, events)...)
 	}
 	return v
 }
 
+// containsExplanation reports whether a request has all parts that can explain the
+// crashes of one of them, if these are enough to refuse it.
+func containsExplanation(now time.Time, p model.PromptPart, parts model.PromptParts, events []*crashEvent) bool {
+	events = settled(now, events)
+	return successive(p, events) >= refusalThreshold && containsAll(parts, inAll(events))
+}
+
+// suspects returns the parts of which one request at a time may run on account of the
+// crashes attributed to a part. From the second crash on these are all parts that explain
+// its crashes as well: if requests with them do not run at the same time, the next crash
+// tells which of them it is.
+func (r *Records) suspects(p model.PromptPart, events []*crashEvent) model.PromptParts {
+	switch n := successive(p, events); {
+	case n >= suspectThresholdSound:
+		return inAll(events)
+	case n >= suspectThreshold && !r.sound.contains(p):
+		return model.PromptParts{p}
+	}
+	return nil
+}
+
+// crashesOf returns the crashes that are attributed to a part, in order of time.
+func (r *Records) crashesOf(p model.PromptPart) []*crashEvent {
+	events := r.byPart[p]
+	if len(events) > 1 {
+		slices.SortFunc(events, func(x, y *crashEvent) int { return x.endedAt.Compare(y.endedAt) })
+	}
+	return events
+}
+
 func containsAll(parts, wanted model.PromptParts) bool {
 	return !slices.ContainsFunc(wanted, func(p model.PromptPart) bool { return !slices.Contains(parts, p) })
 }
 
+// Refuses reports whether any part is refused, or was within refusalMemory.
+func (r *Records) Refuses(now time.Time) bool {
+	r.conclude(now)
+	return len(r.refusals) > 0
+}
+
 // Explains reports whether a run at a target broke off in a crash that a refused part
 // explains.
 func (r *Records) Explains(now time.Time, target netip.AddrPort, sentAt, at time.Time) bool {
-	r.conclude(now)
+	if r.conclude(now); len(r.refusals) == 0 {
+		return false
+	}
 	x := run{sentAt: sentAt, at: at}
 	return slices.ContainsFunc(r.events, func(e *crashEvent) bool {
-		return e.includes(target, x) && slices.ContainsFunc(e.parts(), func(p model.PromptPart) bool { return r.isRefused(now, p) })
+		return e.includes(target, x) && r.isExplained(now, e)
 	})
 }
 
-func (r *Records) isRefused(now time.Time, p model.PromptPart) bool {
-	f, ok := r.refusals[p]
-	return ok && now.Before(f.until)
-}
-
-// parts returns the parts to which a crash is attributed, without repetition.
-func (e *crashEvent) parts() model.PromptParts {
-	var all model.PromptParts
-	for _, x := range e.runs {
-		all = append(all, x.parts...)
+// isExplained reports whether a crash is attributed to a refused part.
+func (r *Records) isExplained(now time.Time, e *crashEvent) bool {
+	for p, f := range r.refusals {
+		if _, ok := e.lastSentAt[p]; ok && now.Before(f.until) {
+			return true
+		}
 	}
-	slices.Sort(all)
-	return slices.Compact(all)
+	return false
 }
 
 // conclude returns the findings from the current records, and refuses the parts that
@@ -92,10 +118,10 @@
 	if r.findings != nil && now.Before(r.findings.validUntil) {
 		return r.findings
 	}
-	byPart := map[model.PromptPart][]*crashEvent{}
-	for _, e := range r.events {
-		for _, p := range e.parts() {
-			byPart[p] = append(byPart[p], e)
+	byPart := map[model.PromptPart][]*crashEvent{} // of the parts that may be refused
+	for p, events := range r.byPart {
+		if _, known := r.refusals[p]; known || len(events) >= refusalThreshold {
+			byPart[p] = r.crashesOf(p)
 		}
 	}
 	explained, found := map[*crashEvent]bool{}, map[model.PromptPart]bool{}
@@ -118,46 +144,20 @@
 			explain(p)
 		}
 	}
-	r.findings = r.conclusions(now, byPart, explained)
+	r.findings = &findings{r.nextSettled(now), explained}
 	return r.findings
 }
 
-// conclusions returns the findings on the crashes that no refused part explains.
-func (r *Records) conclusions(now time.Time, byPart map[model.PromptPart][]*crashEvent, explained map[*crashEvent]bool) *findings {
-	f := &findings{
-		validUntil: r.nextSettled(now), attributed: map[model.PromptPart]bool{},
-		suspects: map[model.PromptPart]model.PromptParts{}, explanations: map[model.PromptPart]model.PromptParts{},
-	}
-	for p, events := range byPart {
-		f.attributed[p] = true
-		events = unexplained(events, explained)
-		n := len(events)
-		if n >= suspectThresholdSound {
-			n = successive(p, events)
-		}
-		switch {
-		case n >= suspectThresholdSound:
-			f.suspects[p] = inAll(events)
-		case n >= suspectThreshold && !r.sound.contains(p):
-			f.suspects[p] = model.PromptParts{p}
-		}
-		if events = settled(now, events); n >= refusalThreshold && successive(p, events) >= refusalThreshold {
-			f.explanations[p] = inAll(events)
-		}
-	}
-	return f
-}
-
 // settled returns the crashes that all hosts have had time to report.
 func settled(now time.Time, events []*crashEvent) []*crashEvent {
-	return slices.DeleteFunc(slices.Clone(events), func(e *crashEvent) bool { return now.Sub(e.end()) < reportTime })
+	return slices.DeleteFunc(slices.Clone(events), func(e *crashEvent) bool { return now.Sub(e.endedAt) < reportTime })
 }
 
 // nextSettled is when the next crash is settled, or the next check for expiry is due.
 func (r *Records) nextSettled(now time.Time) time.Time {
 	next := r.expireAt
 	for _, e := range r.events {
-		if at := e.end().Add(reportTime); at.After(now) && at.Before(next) {
+		if at := e.endedAt.Add(reportTime); at.After(now) && at.Before(next) {
 			next = at
 		}
 	}
@@ -188,48 +188,34 @@
 
 // inAll returns the parts to which all of some crashes are attributed.
 func inAll(events []*crashEvent) model.PromptParts {
-	var common model.PromptParts
-	for i, e := range events {
-		if i == 0 {
-			common = e.parts()
-			continue
-		}
-		parts := e.parts()
-		common = slices.DeleteFunc(common, func(p model.PromptPart) bool { return !slices.Contains(parts, p) })
+	common := slices.Sorted(maps.Keys(events[0].lastSentAt))
+	for _, e := range events[1:] {
+		common = slices.DeleteFunc(common, func(p model.PromptPart) bool {
+			_, ok := e.lastSentAt[p]
+			return !ok
+		})
 	}
 	return common
 }
 
-// successive returns the highest number of the crashes of which each request with the
-// part was sent after the one before had crashed its target. Crashes at the same time
-// may have one other cause, such as the loss of an availability zone.
+// successive returns the highest number of the crashes, in order of time, of which each
+// request with the part was sent after the one before had crashed its target. Crashes at
+// the same time may have one other cause, such as the loss of an availability zone.
 func successive(p model.PromptPart, events []*crashEvent) int {
-	events = slices.SortedFunc(slices.Values(events), func(x, y *crashEvent) int { return x.end().Compare(y.end()) })
 	n := 0
 	var last time.Time
 	for _, e := range events {
-		if e.lastSentAt(p).After(last) {
+		if e.lastSentAt[p].After(last) {
 			n++
-			last = e.end()
+			last = e.endedAt
 		}
 	}
 	return n
 }
 
-// lastSentAt is when the last of the broken requests with a part was sent.
-func (e *crashEvent) lastSentAt(p model.PromptPart) time.Time {
-	var last time.Time
-	for _, x := range e.runs {
-		if x.sentAt.After(last) && slices.Contains(x.parts, p) {
-			last = x.sentAt
-		}
-	}
-	return last
-}
-
 // refuse refuses a part for its crashes, unless it is refused for them already.
 func (r *Records) refuse(p model.PromptPart, events []*crashEvent) {
-	latest := slices.MaxFunc(events, func(x, y *crashEvent) int { return x.end().Compare(y.end()) }).end()
+	latest := events[len(events)-1].endedAt
 	f, known := r.refusals[p]
 	switch {
 	case !known:
