--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -38,7 +38,7 @@
 	Born           uint64 // published lifetime of the target when the request was sent
 	EndedAt        time.Time
 	Took           time.Duration // from sending to the end
-	Answered       bool          // with an answer that has no other end than that of its connection
+	Answered       bool          // completely, as far as an answer without a length shows
 	ConnectRefused bool          // the target accepted no connection just after
 }
 
@@ -47,11 +47,11 @@
 
 // The steps of an investigation.
 const (
-	CrashSuspected CrashStep = "Suspected" // a run ended without its answer
-	CrashRecorded  CrashStep = "Recorded"  // its target had crashed
-	CrashRuledOut  CrashStep = "RuledOut"  // its target was still running
-	CrashesCleared CrashStep = "Cleared"   // a target answered the content completely
-	PartRefused    CrashStep = "PartRefused"
+	CrashSuspected CrashStep = "Suspected"   // a run ended without its answer
+	CrashRecorded  CrashStep = "Recorded"    // its target had crashed
+	CrashRuledOut  CrashStep = "RuledOut"    // its target was still running
+	CrashesCleared CrashStep = "Cleared"     // a target answered the content completely
+	PartRefused    CrashStep = "PartRefused" // a part of prompts crashes targets
 	PartAllowed    CrashStep = "PartAllowed" // again: answered completely, or another part explains the crashes
 )
 
--- a/core/parts/parts.go
+++ b/core/parts/parts.go
@@ -1,8 +1,8 @@
 // Package parts finds the prompt parts that crash targets, by group testing. A crash
 // is attributed to the shared parts of all requests that ran on the target; a
-// complete answer shows that the parts of its request are sound. Requests with a part
-// that several crashes are attributed to run one at a time, and are refused once they
-// contain every part that can explain these crashes. Package crash is the counterpart
+// complete answer shows that the parts of its request are sound. Requests with a
+// suspected part run one at a time, and are refused once they contain every part that
+// can explain several crashes. Package crash is the counterpart
 // for whole requests. The package does no I/O; one goroutine owns the Records.
 package parts
 
@@ -97,7 +97,7 @@
 	events   []*crashEvent
 	byPart   map[model.PromptPart][]*crashEvent // that are attributed to a part
 	answered map[model.PromptPart]time.Time     // last complete answers to parts with crashes
-	sound    recentParts                        // that were answered, completely as far as is known
+	sound    recentParts                        // that were answered, some of them inconclusively
 	refusals map[model.PromptPart]refusal
 	changes  []Change
 	// unsentRuns and unsentAnswers were reported here and not yet returned by TakeNew.
@@ -105,7 +105,7 @@
 	unsentAnswers []model.PromptPart
 	// findings are computed when they are needed; nil if the records have changed.
 	findings *findings
-	expireAt time.Time // when the first of the crashes expires
+	expireAt time.Time // when to look for expired records next
 }
 
 // recentParts is a set of the parts added last, at least maxSound and at most twice as
@@ -146,7 +146,7 @@
 	if r.add(target, x) {
 		r.unsentRuns = append(r.unsentRuns, targetRun{target, x})
 	}
-	r.conclude(at) // a refusal outlives its crashes
+	r.conclude(at) // now, since a refusal has to outlive the crashes
 }
 
 // add adds a run unless it is known or nothing can be attributed to it.
