--- a/io/soak/limit.go
+++ b/io/soak/limit.go
@@ -44,6 +44,10 @@
 	r.logFault("%6.2f s %s: %s, %g a second", time.Since(r.start).Seconds(), faultServerLimit, s.ID, limit)
 	if s.Tamper != "Limit" {
 		s.SetHeaderHook(func(h http.Header, _ netip.Addr) { h.Set("Server-Limit", strconv.FormatFloat(limit, 'g', -1, 64)) })
+	} else {
+		// Nothing is named. The other servers of the service are removed, so that this one
+		// gets more requests than the limit.
+		defer r.removeOthers(s)()
 	}
 	defer s.SetHeaderHook(nil)
 	from := time.Now().Add(limitDeadline)
