--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -102,7 +102,7 @@
 // FeedListing applies a complete list of targets as of a revision.
 func (c *Coordinator) FeedListing(revision uint64, targets []roster.Target, out []string) {
 	c.post(func(now time.Time) {
-		c.settings.Log.Event("info", "targets listed", "Revision", revision, "Targets", len(targets), "ZonesOut", len(out))
+		c.settings.Log.Event("info", "targets listed", "Revision", revision, "Known", c.rosterRevision(), "Targets", len(targets), "ZonesOut", len(out))
 		c.applyListing(now, revision, targets, out)
 	})
 }
