Changes of the store are ordered by era and revision

Callers would have seen: after the store was restored from an older copy, hosts that do not read it refuse everything once servers are replaced, keep a zone out that is back, and send for good to a server that died unseen, until the store's count passes the old one.

Cause: core/roster, fetches between hosts and announcements took revisions as a count that never goes back. Store-Era was not read.

Now a position is (era, revision), in the reader, the roster, tombstones, zones, whole and partial exchanges, announcements and status. A listing whose pages are of two eras is read again, a watch that answers in another era ends unapplied, and an answer of a former era is an error. The first listing of an era is merged with what the roster knows: what is withdrawn in either counts as withdrawn (for RestoreGrace where the copy contradicts a removal or a zone), targets that the copy lacks stay for ReturnGrace, cold times are the longer ones. What the store has lost is told to hosts that know only its copy, also to those that start in between. The configuration's own version goes on ordering configurations. A peer that states no era, of the version before, is taken to be in the present one.

--- a/core/broker/notice_test.go
+++ b/core/broker/notice_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"yuccadoor/core/notice"
+	"yuccadoor/core/roster"
 )
 
 func TestLeavingTargetGetsNoRequests(t *testing.T) {
@@ -24,7 +25,7 @@
 	// Its entry is removed and returns unchanged, then with a later start.
 	back := *s.roster.Snapshot().Targets["t0"]
 	s.serial++
-	s.roster.Remove(s.now, "t0", s.serial, false)
+	s.roster.Remove(s.now, "t0", roster.Position{Revision: s.serial}, false)
 	s.b.SetRoster(s.now, s.roster.Snapshot())
 	s.putTarget(back)
 	assert.Equal(t, len(s.grants[hostA]), 2)
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -1,9 +1,7 @@
 package roster
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
@@ -36,16 +34,16 @@
 		{"put", func(r *Roster) { r.Put(target("x", 5)) }, []string{"x"}},
 		{"draining", func(r *Roster) { r.Put(target("x", 5)); r.Put(draining) }, []string{}},
 		{"delayed update from before draining", func(r *Roster) { r.Put(draining); r.Put(target("x", 5)) }, []string{}},
-		{"removed", func(r *Roster) { r.Put(target("x", 5)); r.Remove(now, "x", 6, false) }, []string{}},
+		{"removed", func(r *Roster) { r.Put(target("x", 5)); r.Remove(now, "x", Position{Revision: 6}, false) }, []string{}},
 		{"delayed update of a removed entry", func(r *Roster) {
 			r.Put(target("x", 5))
-			r.Remove(now, "x", 6, false)
+			r.Remove(now, "x", Position{Revision: 6}, false)
 			r.Put(target("x", 5))
 		}, []string{}},
-		{"delayed removal of an earlier entry", func(r *Roster) { r.Put(target("x", 8)); r.Remove(now, "x", 6, false) }, []string{"x"}},
+		{"delayed removal of an earlier entry", func(r *Roster) { r.Put(target("x", 8)); r.Remove(now, "x", Position{Revision: 6}, false) }, []string{"x"}},
 		{"published again under its ID", func(r *Roster) {
 			r.Put(target("x", 5))
-			r.Remove(now, "x", 6, false)
+			r.Remove(now, "x", Position{Revision: 6}, false)
 			r.Put(target("x", 9))
 		}, []string{"x"}},
 		{"delayed update of a previous run", func(r *Roster) {
@@ -56,17 +54,17 @@
 		}, []string{}},
 		{"listing without it", func(r *Roster) {
 			r.Put(target("x", 5))
-			r.Replace(now, 9, []Target{target("y", 8)}, nil, false)
+			r.Replace(now, Position{Revision: 9}, []Target{target("y", 8)}, nil, ListingOptions{Outage: false})
 		}, []string{"y"}},
 		{"older listing without it", func(r *Roster) {
 			r.Put(target("x", 5))
-			r.Replace(now, 4, nil, nil, false)
+			r.Replace(now, Position{Revision: 4}, nil, nil, ListingOptions{Outage: false})
 		}, []string{"x"}},
-		{"zone out", func(r *Roster) { r.Put(target("x", 5)); r.SetZoneOut("a", true, 6) }, []string{}},
+		{"zone out", func(r *Roster) { r.Put(target("x", 5)); r.SetZoneOut("a", true, Position{Revision: 6}) }, []string{}},
 		{"zone back", func(r *Roster) {
 			r.Put(target("x", 5))
-			r.SetZoneOut("a", true, 6)
-			r.SetZoneOut("a", false, 7)
+			r.SetZoneOut("a", true, Position{Revision: 6})
+			r.SetZoneOut("a", false, Position{Revision: 7})
 		}, []string{"x"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -81,7 +79,7 @@
 	r := New()
 	r.Put(target("x", 5))
 	r.Put(target("y", 5))
-	r.Replace(now, 9, nil, nil, true)
+	r.Replace(now, Position{Revision: 9}, nil, nil, ListingOptions{Outage: true})
 	assert.DeepEqual(t, usableIDs(r), []string{"x", "y"})
 	r.Put(target("x", 10)) // it has republished its entry
 	r.Expire(now.Add(ReturnGrace-time.Millisecond), now)
@@ -94,8 +92,8 @@
 	r := New()
 	r.Put(target("x", 5))
 	before := r.Snapshot()
-	r.SetZoneOut("a", true, 6)
-	r.Remove(now, "x", 7, false)
+	r.SetZoneOut("a", true, Position{Revision: 6})
+	r.Remove(now, "x", Position{Revision: 7}, false)
 	assert.Equal(t, len(before.ForService("s")), 1)
 }
 
@@ -113,20 +111,14 @@
 				next.Draining = rapid.Bool().Draw(t, "draining")
 				source.Put(next)
 			case 2:
-				source.Remove(now, id, revision, false)
+				source.Remove(now, id, Position{Revision: revision}, false)
 			case 3:
-				source.SetZoneOut("a", rapid.Bool().Draw(t, "out"), revision)
+				source.SetZoneOut("a", rapid.Bool().Draw(t, "out"), Position{Revision: revision})
 			}
 			if rapid.Bool().Draw(t, "sync") {
-				changed, removed, whole := source.ChangesSince(peer.Revision())
-				zonesOut := slices.Collect(maps.Keys(source.Snapshot().ZonesOut))
-				if whole {
-					peer.Replace(now, source.Revision(), changed, zonesOut, false)
-				} else {
-					peer.ApplyChanges(now, source.Revision(), changed, removed, zonesOut)
-				}
+				peer.Apply(now, source.ChangesSince(now, peer.Position()))
 				assert.DeepEqual(t, usableIDs(peer), usableIDs(source))
-				assert.Equal(t, peer.Revision(), source.Revision())
+				assert.Equal(t, peer.Position(), source.Position())
 			}
 		}
 	})
@@ -143,21 +135,21 @@
 	before := reader.Snapshot()
 	reader.Put(Target{ID: "d", Service: "s", Revision: 4}) // missed by the peer
 	reader.Put(Target{ID: "a", Service: "s", Revision: 5, Draining: true})
-	reader.Remove(now, "b", 6, false)
+	reader.Remove(now, "b", Position{Revision: 6}, false)
 	departures := reader.DeparturesSince(before)
 	assert.DeepEqual(t, departures, []Departure{{ID: "a", Revision: 5}, {ID: "b", Revision: 6, Removed: true}})
-	assert.Assert(t, peer.ApplyDepartures(departures))
-	assert.Assert(t, !peer.ApplyDepartures(departures), "the departures are already known")
+	assert.Assert(t, peer.ApplyDepartures(now, departures))
+	assert.Assert(t, !peer.ApplyDepartures(now, departures), "the departures are already known")
 	s := peer.Snapshot()
 	assert.Assert(t, s.Usable("a") == nil && s.Usable("b") == nil && s.Usable("c") != nil)
-	assert.Equal(t, peer.Revision(), uint64(3), "the missed change is still to be fetched")
-	changed, removed, whole := reader.ChangesSince(peer.Revision())
-	assert.Assert(t, !whole)
-	peer.ApplyChanges(now, reader.Revision(), changed, removed, nil)
+	assert.Equal(t, peer.Position(), Position{Revision: 3}, "the missed change is still to be fetched")
+	changes := reader.ChangesSince(now, peer.Position())
+	assert.Assert(t, !changes.Whole)
+	peer.Apply(now, changes)
 	assert.Assert(t, peer.Snapshot().Usable("d") != nil && peer.Snapshot().Usable("a") == nil)
 	// A delayed departure must not remove a target that was published again.
 	peer.Put(Target{ID: "b", Service: "s", Revision: 7, Born: 2})
-	assert.Assert(t, !peer.ApplyDepartures(departures))
+	assert.Assert(t, !peer.ApplyDepartures(now, departures))
 	assert.Assert(t, peer.Snapshot().Usable("b") != nil)
 }
 
@@ -169,17 +161,17 @@
 	}
 	before := reader.Snapshot()
 	reader.Put(Target{ID: "b", Service: "s", Zone: "y", Revision: 4})
-	reader.SetZoneOut("z", true, 6)
+	reader.SetZoneOut("z", true, Position{Revision: 6})
 	departures := reader.DeparturesSince(before)
 	assert.DeepEqual(t, departures, []Departure{{Zone: "z", Revision: 6}})
-	assert.Assert(t, peer.ApplyDepartures(departures))
+	assert.Assert(t, peer.ApplyDepartures(now, departures))
 	assert.Assert(t, peer.Snapshot().Usable("a") == nil)
-	assert.Equal(t, peer.Revision(), uint64(3))
+	assert.Equal(t, peer.Position(), Position{Revision: 3})
 	// Changes up to an earlier revision must not bring the zone back.
-	peer.ApplyChanges(now, 5, nil, nil, nil)
+	peer.Apply(now, Changes{Position: Position{Revision: 5}})
 	assert.Assert(t, peer.Snapshot().Usable("a") == nil)
-	peer.ApplyChanges(now, 7, nil, nil, nil)
+	peer.Apply(now, Changes{Position: Position{Revision: 7}})
 	assert.Assert(t, peer.Snapshot().Usable("a") != nil, "the zone is back in service")
-	assert.Assert(t, !peer.ApplyDepartures(departures), "a delayed departure")
+	assert.Assert(t, !peer.ApplyDepartures(now, departures), "a delayed departure")
 	assert.Assert(t, peer.Snapshot().Usable("a") != nil)
 }
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -214,9 +214,7 @@
 	if c.mesh == nil {
 		return
 	}
-	if c.storeUp && !c.storeReturnedAt.IsZero() {
-		c.expireTargets(now)
-	}
+	c.expireTargets(now)
 	c.updateLeader(now)
 	c.updateReading(now)
 	if c.hosts.Due(now) {
@@ -237,11 +235,14 @@
 // WaitingEvents returns the number of events that wait for the event loop.
 func (c *Coordinator) WaitingEvents() int { return c.events.Len() }
 
-// expireTargets drops targets whose entries lapsed while the store was unreachable and
-// have not come back since.
+// expireTargets drops targets whose entries lapsed while the store was unreachable, or
+// are missing since it was restored, and have not come back.
 func (c *Coordinator) expireTargets(now time.Time) {
 	before := c.roster.Snapshot()
-	c.roster.Expire(now, c.storeReturnedAt)
+	if c.storeUp && !c.storeReturnedAt.IsZero() {
+		c.roster.Expire(now, c.storeReturnedAt)
+	}
+	c.roster.Settle(now)
 	if c.roster.Snapshot() != before {
 		c.rosterChanged(now)
 	}
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -90,7 +90,7 @@
 		c.FeedConfig(&routes.Config{Version: 1, Services: []routes.Service{{Name: "lm", Engine: true, Slots: 4}}, Workspaces: []routes.Workspace{
 			{Name: "bounded", Allowance: routes.Allowance{PerSecond: 1, Burst: 100, InTokens: true}},
 		}})
-		c.FeedListing(1, []roster.Target{
+		c.FeedListing(roster.Position{Revision: 1}, []roster.Target{
 			{ID: "t0", Service: "lm", Address: netip.MustParseAddrPort("127.0.0.9:1"), Slots: 4, Revision: 1},
 			{ID: "t1", Service: "lm", Address: netip.MustParseAddrPort("127.0.0.9:2"), Slots: 4, Revision: 1},
 		}, nil)
@@ -395,8 +395,8 @@
 	}, poll.WithTimeout(10*time.Second))
 	assert.NilError(t, hosts[5].do(t.Context(), func(time.Time) { hosts[5].reading = true }))
 	hosts[5].FeedTarget(roster.Target{ID: "t0", Service: "lm", Address: netip.MustParseAddrPort("127.0.0.9:1"), Slots: 4, Draining: true, Revision: 2})
-	hosts[5].FeedTargetRemoval("t1", 3)
-	hosts[5].FeedZone("z", true, 4)
+	hosts[5].FeedTargetRemoval("t1", roster.Position{Revision: 3})
+	hosts[5].FeedZone("z", true, roster.Position{Revision: 4})
 	const delay = 500 * time.Millisecond // half of the heartbeat period
 	time.Sleep(delay)
 	late := 0
--- a/io/coord/facts.go
+++ b/io/coord/facts.go
@@ -41,11 +41,13 @@
 	Revision   uint64            `cbor:"3,keyasint,omitempty"` // of the roster; 0 for none
 	// Readers are the hosts that read the store, as assigned by the sender if it leads.
 	Readers []netip.AddrPort `cbor:"4,keyasint,omitempty"`
+	Era     uint64           `cbor:"5,keyasint,omitempty"` // of Revision
 }
 
-// FetchRequest asks for published state newer than the given version and revision.
+// FetchRequest asks for published state newer than the given version and position.
 type FetchRequest struct {
 	Version  uint64
+	Era      uint64 `json:",omitempty"` // of Revision
 	Revision uint64
 }
 
@@ -53,11 +55,15 @@
 // to another.
 type PublishedState struct {
 	Config   []byte `json:",omitempty"` // see encodeConfig
+	Era      uint64 `json:",omitempty"` // of Revision
 	Revision uint64 // up to which targets and zones are included; 0 if they are not
 	Whole    bool   `json:",omitempty"` // Targets is the complete list, not only changes
+	Settled  bool   `json:",omitempty"` // see roster.Changes
 	Targets  []Target
 	Gone     []roster.Removal
+	Withheld []Target `json:",omitempty"` // see roster.Changes
 	Out      []string // all availability zones that are taken out
+	OutLost  []string `json:",omitempty"` // those of Out that a restored store has lost
 }
 
 // Target is a target with its remaining cold time as measured by the sender.
@@ -120,18 +126,28 @@
 	return c.config.Version
 }
 
-// rosterRevision returns the revision of the roster, or 0 before the first complete list.
-func (c *Coordinator) rosterRevision() uint64 {
+// rosterPosition returns the position of the roster, or zero before the first complete list.
+func (c *Coordinator) rosterPosition() roster.Position {
 	if !c.hasListing {
-		return 0
+		return roster.Position{}
+	}
+	return c.roster.Position()
+}
+
+// peerPosition returns the position that a peer has stated. A peer of a version without
+// eras states none, and is taken to be in the present one.
+func (c *Coordinator) peerPosition(era, revision uint64) roster.Position {
+	if era == 0 && revision > 0 {
+		era = c.roster.Position().Era
 	}
-	return c.roster.Revision()
+	return roster.Position{Era: era, Revision: revision}
 }
 
 // nextHeartbeat returns this host's next heartbeat, without those of other hosts.
 func (c *Coordinator) nextHeartbeat(now time.Time) HeartbeatMessage {
+	at := c.rosterPosition()
 	return HeartbeatMessage{
-		Heartbeats: []hosts.Heartbeat{c.hosts.NextHeartbeat(now)}, Version: c.configVersion(), Revision: c.rosterRevision(),
+		Heartbeats: []hosts.Heartbeat{c.hosts.NextHeartbeat(now)}, Version: c.configVersion(), Era: at.Era, Revision: at.Revision,
 		Readers: c.hosts.AssignedReaders(),
 	}
 }
@@ -162,18 +178,19 @@
 	if m.Version > c.configVersion() && c.configBehindSince.IsZero() {
 		c.configBehindSince = now
 	}
-	announced := announcement{version: m.Version, revision: m.Revision, since: now}
+	announced := announcement{version: m.Version, position: c.peerPosition(m.Era, m.Revision), since: now}
 	if former, ok := c.peersAhead[from]; ok {
 		announced.since = former.since
 	}
 	c.peersAhead[from] = announced
 	c.forgetCaughtUp()
+	c.sendLostDepartures(from)
 }
 
 // announcement is the published state that a peer has announced.
 type announcement struct {
 	version  uint64 // of the configuration
-	revision uint64 // of the roster
+	position roster.Position
 	since    time.Time
 }
 
@@ -181,7 +198,7 @@
 // newer does not respond to a fetch, which would hold up others until its timeout.
 func (c *Coordinator) forgetCaughtUp() {
 	maps.DeleteFunc(c.peersAhead, func(_ netip.AddrPort, a announcement) bool {
-		return a.version <= c.configVersion() && a.revision <= c.rosterRevision()
+		return a.version <= c.configVersion() && !a.position.After(c.rosterPosition())
 	})
 }
 
@@ -219,7 +236,8 @@
 	c.fetchedAt, c.fetchedFrom = now, from
 	// If it does not answer within fetchTimeout, another peer is asked.
 	delete(c.peersAhead, from)
-	c.mesh.Send(from, methodFetch, FetchRequest{Version: c.configVersion(), Revision: c.rosterRevision()})
+	at := c.rosterPosition()
+	c.mesh.Send(from, methodFetch, FetchRequest{Version: c.configVersion(), Era: at.Era, Revision: at.Revision})
 }
 
 // handleFetch sends a peer the published state that it lacks.
@@ -228,21 +246,52 @@
 	if c.configVersion() > f.Version {
 		state.Config = c.encodedConfig()
 	}
-	if c.rosterRevision() > f.Revision {
-		changed, gone, whole := c.roster.ChangesSince(f.Revision)
-		state.Revision, state.Gone, state.Whole = c.rosterRevision(), gone, whole
-		for _, t := range changed {
-			state.Targets = append(state.Targets, Target{Target: t, ColdLeft: t.ColdUntil.Sub(now)})
-		}
-		for z := range c.roster.Snapshot().ZonesOut {
-			state.Out = append(state.Out, z)
-		}
+	if known := c.peerPosition(f.Era, f.Revision); c.rosterPosition().After(known) {
+		state.setChanges(now, c.roster.ChangesSince(now, known))
 	}
 	if state.Config != nil || state.Revision > 0 {
 		c.mesh.Send(to, methodFacts, state)
 	}
 }
 
+// setChanges sets the changes of the roster.
+func (s *PublishedState) setChanges(now time.Time, changes roster.Changes) {
+	s.Era, s.Revision = changes.Position.Era, changes.Position.Revision
+	s.Whole, s.Settled, s.Gone, s.Out, s.OutLost = changes.Whole, changes.Settled, changes.Removed, changes.ZonesOut, changes.ZonesLost
+	for _, t := range changes.Targets {
+		s.Targets = append(s.Targets, Target{Target: t, ColdLeft: t.ColdUntil.Sub(now)})
+	}
+	for _, t := range changes.Withheld {
+		s.Withheld = append(s.Withheld, Target{Target: t, ColdLeft: t.ColdUntil.Sub(now)})
+	}
+}
+
+// changes returns the changes of the roster that a peer has sent.
+func (c *Coordinator) changes(now time.Time, s PublishedState) roster.Changes {
+	changes := roster.Changes{
+		Position: c.peerPosition(s.Era, s.Revision), Whole: s.Whole, Settled: s.Settled, ZonesOut: s.Out, ZonesLost: s.OutLost,
+	}
+	decode := func(t Target) roster.Target {
+		t.Target.Era = c.peerPosition(t.Era, t.Revision).Era
+		t.Target.ColdUntil = time.Time{}
+		if t.ColdLeft > 0 {
+			t.Target.ColdUntil = now.Add(t.ColdLeft)
+		}
+		return t.Target
+	}
+	for _, t := range s.Targets {
+		changes.Targets = append(changes.Targets, decode(t))
+	}
+	for _, t := range s.Withheld {
+		changes.Withheld = append(changes.Withheld, decode(t))
+	}
+	for _, r := range s.Gone {
+		r.Era = c.peerPosition(r.Era, r.Revision).Era
+		changes.Removed = append(changes.Removed, r)
+	}
+	return changes
+}
+
 // encodedConfig returns the encoded configuration, which is computed once per version.
 func (c *Coordinator) encodedConfig() []byte {
 	if c.encoded == nil {
@@ -268,23 +317,15 @@
 			c.applyConfig(now, config.Index(), "host "+from.String())
 		}
 	}
-	if state.Revision <= c.rosterRevision() {
-		return
-	}
-	targets := make([]roster.Target, 0, len(state.Targets))
-	for _, t := range state.Targets {
-		t.Target.ColdUntil = time.Time{}
-		if t.ColdLeft > 0 {
-			t.Target.ColdUntil = now.Add(t.ColdLeft)
-		}
-		targets = append(targets, t.Target)
-	}
-	if state.Whole {
-		c.applyListing(now, state.Revision, targets, state.Out)
+	changes := c.changes(now, state)
+	if state.Revision == 0 || !changes.Position.After(c.rosterPosition()) {
 		return
 	}
-	c.roster.ApplyChanges(now, state.Revision, targets, state.Gone, state.Out)
+	former := c.rosterPosition()
+	c.roster.Apply(now, changes)
+	c.hasListing = c.hasListing || changes.Whole
 	c.rosterChanged(now)
+	c.eraChanged(now, former, from)
 }
 
 // maxConfigBytes limits the size of a decompressed configuration.
--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -1,6 +1,8 @@
 package coord
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
 	"yuccadoor/core/roster"
@@ -27,11 +29,41 @@
 	c.announceConfig(now)
 }
 
-// applyListing replaces the roster by a complete list of targets as of a revision.
-func (c *Coordinator) applyListing(now time.Time, revision uint64, targets []roster.Target, out []string) {
-	c.roster.Replace(now, revision, targets, out, c.inOutage(now))
+// applyListing replaces the roster by a complete list of targets that was read from the
+// store at a position.
+func (c *Coordinator) applyListing(now time.Time, p roster.Position, targets []roster.Target, out []string) {
+	former := c.rosterPosition()
+	c.roster.Replace(now, p, targets, out, roster.ListingOptions{Outage: c.inOutage(now)})
 	c.hasListing = true
 	c.rosterChanged(now)
+	c.eraChanged(now, former, netip.AddrPort{})
+}
+
+// eraChanged tells hosts that may know only the copy from which the store was restored
+// what it has lost: all of them if this host reads the store, otherwise the peer from
+// which this host has its state.
+func (c *Coordinator) eraChanged(now time.Time, former roster.Position, from netip.AddrPort) {
+	at := c.rosterPosition()
+	if at.Era == former.Era || former == (roster.Position{}) {
+		return
+	}
+	lost := c.roster.LostDepartures()
+	unconfirmed, withheld, zones := c.roster.RestoreCounts()
+	c.settings.Log.Event("warn", "store was restored", "Era", at.Era, "Revision", at.Revision, "FormerEra", former.Era, "Former", former.Revision,
+		"From", from, "Unconfirmed", unconfirmed, "Withheld", withheld, "ZonesOut", zones, "LostDepartures", len(lost))
+	if c.reading {
+		c.departures = append(c.departures, lost...)
+	} else if from.IsValid() {
+		c.sendLostDepartures(from)
+	}
+}
+
+// sendLostDepartures tells a host what a restored store has lost. A host that has just
+// started may have read the store's copy only.
+func (c *Coordinator) sendLostDepartures(to netip.AddrPort) {
+	if lost := c.roster.LostDepartures(); len(lost) > 0 {
+		c.mesh.Send(to, methodDeparted, pack.Of(lost))
+	}
 }
 
 // updateReading assigns the readers if this host leads, and starts or stops reading the
@@ -85,10 +117,16 @@
 
 // applyDepartures applies departures received from a host that reads the store.
 func (c *Coordinator) applyDepartures(now time.Time, departures []roster.Departure) {
-	if c.roster.ApplyDepartures(departures) {
-		c.broker.SetRoster(now, c.roster.Snapshot())
-		c.publish()
+	if !c.roster.ApplyDepartures(now, departures) {
+		return
 	}
+	if c.reading && slices.ContainsFunc(departures, func(d roster.Departure) bool { return d.Lost }) {
+		// The host that sent them reaches only this one.
+		c.rosterChanged(now)
+		return
+	}
+	c.broker.SetRoster(now, c.roster.Snapshot())
+	c.publish()
 }
 
 // The methods below are called by the reader of the store, from a single goroutine;
@@ -99,11 +137,12 @@
 	c.post(func(now time.Time) { c.applyConfig(now, config.Index(), "store") })
 }
 
-// FeedListing applies a complete list of targets as of a revision.
-func (c *Coordinator) FeedListing(revision uint64, targets []roster.Target, out []string) {
+// FeedListing applies a complete list of targets as of a position.
+func (c *Coordinator) FeedListing(p roster.Position, targets []roster.Target, out []string) {
 	c.post(func(now time.Time) {
-		c.settings.Log.Event("info", "targets listed", "Revision", revision, "Known", c.rosterRevision(), "Targets", len(targets), "ZonesOut", len(out))
-		c.applyListing(now, revision, targets, out)
+		known := c.rosterPosition()
+		c.settings.Log.Event("info", "targets listed", "Era", p.Era, "Revision", p.Revision, "KnownEra", known.Era, "Known", known.Revision, "Targets", len(targets), "ZonesOut", len(out))
+		c.applyListing(now, p, targets, out)
 	})
 }
 
@@ -118,20 +157,20 @@
 }
 
 // FeedTargetRemoval applies the removal of a target entry.
-func (c *Coordinator) FeedTargetRemoval(id string, revision uint64) {
+func (c *Coordinator) FeedTargetRemoval(id string, p roster.Position) {
 	c.post(func(now time.Time) {
 		outage := c.inOutage(now)
-		c.settings.Log.Event("info", "target gone", "Target", id, "Revision", revision, "Outage", outage)
-		c.roster.Remove(now, id, revision, outage)
+		c.settings.Log.Event("info", "target gone", "Target", id, "Revision", p.Revision, "Outage", outage)
+		c.roster.Remove(now, id, p, outage)
 		c.rosterChanged(now)
 	})
 }
 
 // FeedZone applies whether an availability zone is taken out of service.
-func (c *Coordinator) FeedZone(zone string, out bool, revision uint64) {
+func (c *Coordinator) FeedZone(zone string, out bool, p roster.Position) {
 	c.post(func(now time.Time) {
-		c.settings.Log.Event("info", "zone changed", "Zone", zone, "Out", out, "Revision", revision)
-		c.roster.SetZoneOut(zone, out, revision)
+		c.settings.Log.Event("info", "zone changed", "Zone", zone, "Out", out, "Revision", p.Revision)
+		c.roster.SetZoneOut(zone, out, p)
 		c.rosterChanged(now)
 	})
 }
--- a/io/coord/fleet_test.go
+++ b/io/coord/fleet_test.go
@@ -160,7 +160,7 @@
 			}
 			continue
 		case config == nil:
-			h.FeedListing(1, []roster.Target{{ID: "t0", Service: "lm", Address: netip.MustParseAddrPort("10.9.0.1:1"), Slots: 4, Revision: 1}}, nil)
+			h.FeedListing(roster.Position{Revision: 1}, []roster.Target{{ID: "t0", Service: "lm", Address: netip.MustParseAddrPort("10.9.0.1:1"), Slots: 4, Revision: 1}}, nil)
 		}
 		if config != published {
 			config = published
@@ -384,7 +384,7 @@
 		for n := range 20 {
 			announce(fleetAddress(fleetZones*(n+1)), HeartbeatMessage{Version: 1, Revision: 5})
 		}
-		c.FeedListing(5, nil, nil)
+		c.FeedListing(roster.Position{Revision: 5}, nil, nil)
 		announce(reader, HeartbeatMessage{Version: 2, Revision: 5})
 		time.Sleep(maxConfigDelay)
 		assert.Equal(t, c.View().Config.Version, uint64(2))
--- a/io/coord/status.go
+++ b/io/coord/status.go
@@ -14,6 +14,7 @@
 	Ready       bool
 	StoreUp     bool
 	Version     uint64 // of the configuration
+	Era         uint64 // of the store
 	Revision    uint64 // of the targets
 	Alive       []netip.AddrPort
 	Known       int // hosts
@@ -34,7 +35,7 @@
 		_, known := c.hosts.Counts(now)
 		s = Status{
 			Self: c.self(), Zone: c.settings.Zone, Leader: c.leader, Ready: view.Ready, StoreUp: c.storeUp,
-			Version: c.configVersion(), Revision: c.rosterRevision(), Alive: c.hosts.Alive(now), Known: known,
+			Version: c.configVersion(), Era: c.rosterPosition().Era, Revision: c.rosterPosition().Revision, Alive: c.hosts.Alive(now), Known: known,
 			ZonesOut: len(view.Roster.ZonesOut), Waiting: len(c.pending), Running: len(c.running),
 			LeadWaiting: c.broker.WaitingCount(),
 		}
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -60,6 +60,7 @@
 func (r *run) injectExclusiveFault() {
 	faults := []fault{
 		{faultServersLeave, func(r *run, _ int) func() { r.leaveExclusively(); return nil }},
+		{faultDepartureLost, func(r *run, _ int) func() { r.loseDeparture(); return nil }},
 		{faultServerAnnounces, func(r *run, _ int) func() { r.announceLeaving(); return nil }},
 		{faultRequestCrashes, func(r *run, _ int) func() { r.crashServers(); return nil }},
 		{faultPartCrashes, func(r *run, _ int) func() { r.crashServersByPart(); return nil }},
@@ -82,6 +83,7 @@
 		{"store fails for all", (*run).failStore},
 		{"store turns one host away", (*run).failStoreForOne},
 		{"store forgets its history", (*run).compactStore},
+		{faultStoreRestored, (*run).restoreStore},
 		{"servers misbehave", (*run).failServers},
 		{"server leaves and comes back cold", (*run).drainServer},
 		{"zone taken out", (*run).evacuateZone},
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -36,6 +36,7 @@
 		{1, "nothing", nil},
 		{4003, "a request without a body crashed servers 17 times", []string{faultRequestCrashes}},
 		{5101, "requests with one part in common crashed servers 19 times", []string{faultPartCrashes}},
+		{5103, "nothing", []string{faultStoreRestored, faultDepartureLost, "server leaves and comes back cold", "zone taken out", "host killed"}},
 		{5102, "a server that named a limit of 1 got 12 requests in 4 s", []string{faultServerLimit}},
 	} {
 		r, err := Run(context.Background(), Settings{Program: path, Hosts: 3, Seed: c.seed, Length: 6 * time.Second, Only: c.only})
@@ -57,6 +58,7 @@
 		{"Mixed", "settings reloaded", "received the body"},
 		{"Cold", "server turns cold", "cold server-"},
 		{"Left", faultServersLeave, "after it had left"},
+		{"Left", faultDepartureLost, "after it had left"},
 		{"Left", faultServerAnnounces, "after it had left"},
 		{"Crash", faultRequestCrashes, "crashed servers"},
 		{"Crash", faultPartCrashes, "part bad0"},
