A roster that lists anew does not know what left in between

A target that registered and left between two listings of a reader was never known to it, so that its changes since the first listing did not name the removal, and a peer that knew the target kept it. Now changes are complete only from the last listing on; peers behind it get the whole list. TestTargetThatLeftBetweenTwoListingsLeavesPeersToo failed before.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -300,7 +300,6 @@
 	case former.After(p):
 		return
 	case former == Position{}:
-		r.floor = p
 		r.restored.since = now
 	case p.Era > former.Era && !o.Settled:
 		r.adopt(now, p, all, zonesOut)
@@ -325,6 +324,9 @@
 			r.restored.drop(id, p)
 		}
 	}
+	if p.After(former) {
+		r.floor = p // what came and went since the former position is unknown
+	}
 	r.position = later(r.position, p)
 	r.replaceZonesOut(zonesOut, p)
 	r.publish()
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -175,3 +175,14 @@
 	assert.Assert(t, !peer.ApplyDepartures(now, departures), "a delayed departure")
 	assert.Assert(t, peer.Snapshot().Usable("a") != nil)
 }
+
+// A roster that lists anew has not seen what came and went in between, and must not
+// pretend to know all changes.
+func TestTargetThatLeftBetweenTwoListingsLeavesPeersToo(t *testing.T) {
+	reader, peer := New(), New()
+	reader.Replace(now, Position{Revision: 1}, nil, nil, ListingOptions{})
+	peer.Replace(now, Position{Revision: 2}, []Target{target("x", 2)}, nil, ListingOptions{})
+	reader.Replace(now, Position{Revision: 3}, nil, nil, ListingOptions{})
+	peer.Apply(now, reader.ChangesSince(now, peer.Position()))
+	assert.DeepEqual(t, usableIDs(peer), []string{})
+}
--- a/io/coord/facts.go
+++ b/io/coord/facts.go
@@ -325,7 +325,7 @@
 	c.roster.Apply(now, changes)
 	c.hasListing = c.hasListing || changes.Whole
 	c.rosterChanged(now)
-	c.eraChanged(now, former, from)
+	c.eraChanged(former, from)
 }
 
 // maxConfigBytes limits the size of a decompressed configuration.
--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -36,13 +36,13 @@
 	c.roster.Replace(now, p, targets, out, roster.ListingOptions{Outage: c.inOutage(now)})
 	c.hasListing = true
 	c.rosterChanged(now)
-	c.eraChanged(now, former, netip.AddrPort{})
+	c.eraChanged(former, netip.AddrPort{})
 }
 
 // eraChanged tells hosts that may know only the copy from which the store was restored
 // what it has lost: all of them if this host reads the store, otherwise the peer from
 // which this host has its state.
-func (c *Coordinator) eraChanged(now time.Time, former roster.Position, from netip.AddrPort) {
+func (c *Coordinator) eraChanged(former roster.Position, from netip.AddrPort) {
 	at := c.rosterPosition()
 	if at.Era == former.Era || former == (roster.Position{}) {
 		return
