A departure that is passed on does not hide the changes before it

Departures are applied ahead of other changes, and the roster's position stays. But a peer that was sent such an entry with a listing took its position for the roster's, and never fetched what lies between: new targets were missing there until the next listing. Now the position of a list or of changes is the one that comes with it. TestDepartureThatIsPassedOnSkipsNoChanges failed before.

--- a/core/roster/restore.go
+++ b/core/roster/restore.go
@@ -85,7 +85,6 @@
 	listed := map[string]bool{}
 	for _, t := range all {
 		listed[t.ID] = true
-		r.position = later(r.position, t.Position())
 		r.adoptEntry(now, p, t)
 	}
 	for id, t := range r.targets {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -108,8 +108,14 @@
 // Put adds or updates an entry. An entry that is older than the known one, or than its
 // removal, is ignored.
 func (r *Roster) Put(t Target) {
+	r.position = later(r.position, t.Position())
+	r.putEntry(t)
+}
+
+// putEntry is Put without advancing the roster's position. An entry of a listing, or of a
+// peer, may be ahead of the changes that come with it.
+func (r *Roster) putEntry(t Target) {
 	p := t.Position()
-	r.position = later(r.position, p)
 	if known := r.targets[t.ID]; known != nil && !p.After(known.Position()) {
 		if known.Position() == p && !known.LapsedAt.IsZero() {
 			r.clearLapsed(known)
@@ -152,6 +158,11 @@
 // stays usable until Expire.
 func (r *Roster) Remove(now time.Time, id string, p Position, outage bool) {
 	r.position = later(r.position, p)
+	r.removeEntry(now, id, p, outage)
+}
+
+// removeEntry is Remove without advancing the roster's position.
+func (r *Roster) removeEntry(now time.Time, id string, p Position, outage bool) {
 	t := r.targets[id]
 	if t == nil && r.restored.drop(id, p) {
 		r.tombstones[id] = tombstone{Position: p, born: r.tombstones[id].born}
@@ -241,10 +252,10 @@
 		r.Replace(now, c.Position, c.Targets, c.ZonesOut, ListingOptions{Settled: c.Settled})
 	} else {
 		for _, t := range c.Targets {
-			r.Put(t)
+			r.putEntry(t)
 		}
 		for _, d := range c.Removed {
-			r.Remove(now, d.ID, Position{d.Era, d.Revision}, false)
+			r.removeEntry(now, d.ID, Position{d.Era, d.Revision}, false)
 		}
 		r.replaceZonesOut(c.ZonesOut, c.Position)
 		r.position = later(r.position, c.Position)
@@ -312,11 +323,11 @@
 	for _, t := range all {
 		// A peer's unconfirmed entry is not in the store: a confirmed one was removed.
 		listed[t.ID] = !t.Unconfirmed || !r.isConfirmed(t.ID)
-		r.Put(t)
+		r.putEntry(t)
 	}
 	for id, t := range r.targets {
 		if !listed[id] && !t.Unconfirmed && !t.Position().After(p) {
-			r.Remove(now, id, p, o.Outage)
+			r.removeEntry(now, id, p, o.Outage)
 		}
 	}
 	for id := range r.restored.withheld {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -186,3 +186,14 @@
 	peer.Apply(now, reader.ChangesSince(now, peer.Position()))
 	assert.DeepEqual(t, usableIDs(peer), []string{})
 }
+
+// A departure is told ahead of other changes. A peer to which it is passed on must still
+// fetch the changes before it.
+func TestDepartureThatIsPassedOnSkipsNoChanges(t *testing.T) {
+	between, peer := New(), New()
+	between.Replace(now, Position{Revision: 2}, []Target{target("x", 2)}, nil, ListingOptions{})
+	between.ApplyDepartures(now, []Departure{{ID: "x", Revision: 9}})
+	peer.Apply(now, between.ChangesSince(now, peer.Position()))
+	assert.DeepEqual(t, usableIDs(peer), []string{})
+	assert.Equal(t, peer.Position(), between.Position())
+}
