A withheld entry follows what the store says of it

An entry that a host withholds after the store was restored was put back as it was first read, also if the target had begun to drain since.

--- a/core/roster/restore.go
+++ b/core/roster/restore.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// update updates a withheld entry.
+func (s *restoration) update(t Target) {
+	if w, ok := s.withheld[t.ID]; ok && !t.Unconfirmed && t.Position().After(w.target.Position()) {
+		s.withheld[t.ID] = withheldEntry{t, w.since}
+	}
+}
+
 // forget forgets a target that has published its entry again.
 func (s *restoration) forget(id string) {
 	delete(s.withheld, id)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -123,6 +123,7 @@
 		return
 	}
 	if gone, ok := r.tombstones[t.ID]; ok && (!p.After(gone.Position) || t.Unconfirmed && t.Born <= gone.born) {
+		r.restored.update(t)
 		return
 	}
 	if t.Unconfirmed && r.isConfirmed(t.ID) {
