--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -22,6 +22,7 @@
 	Service   string
 	Address   netip.AddrPort
 	Zone      string // availability zone
+	Version   string `json:",omitempty"` // of the target's software; empty if not published
 	Slots     int    // maximum concurrent requests; 0 if not published
 	Draining  bool
 	ColdUntil time.Time // zero if warm
--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -150,7 +150,7 @@
 func (c *Coordinator) FeedTarget(t roster.Target) {
 	c.post(func(now time.Time) {
 		c.settings.Log.Event("info", "target changed", "Target", t.ID, "Address", t.Address, "Service", t.Service,
-			"Zone", t.Zone, "Draining", t.Draining, "Revision", t.Revision)
+			"Zone", t.Zone, "TargetVersion", t.Version, "Draining", t.Draining, "Revision", t.Revision)
 		c.roster.Put(t)
 		c.rosterChanged(now)
 	})
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -44,7 +44,7 @@
 // is final.
 func (c *call) attempt(ctx context.Context, t *roster.Target) attemptResult {
 	started := c.handler.Now()
-	c.targetID, c.targetZone = t.ID, t.Zone
+	c.targetID, c.targetZone, c.targetVersion = t.ID, t.Zone, t.Version
 	r := c.sendTo(ctx, t)
 	ended := c.handler.Now()
 	r.duration, r.idle = ended.Sub(started), ended.Sub(started)
@@ -59,7 +59,7 @@
 		c.runs++
 	}
 	if r.err != nil || r.outcome != broker.Good {
-		c.handler.Log.Event("info", "attempt ended", "Request", c.info.ID, "Content", c.content, "Parts", c.info.SharedParts, "Target", t.ID, "Address", t.Address,
+		c.handler.Log.Event("info", "attempt ended", "Request", c.info.ID, "Content", c.content, "Parts", c.info.SharedParts, "Target", t.ID, "TargetVersion", t.Version, "Address", t.Address, "Events", c.events,
 			"Outcome", r.outcome, "Status", r.status, "MayHaveRun", r.mayHaveRun, "Took", r.duration, "Error", r.err)
 	}
 	return r
--- a/io/gate/call.go
+++ b/io/gate/call.go
@@ -46,6 +46,7 @@
 	cause           string
 	targetID        string
 	targetZone      string
+	targetVersion   string
 	queueTime       time.Duration // spent waiting for grants
 	expectedWait    time.Duration // as of the coordinator's refusal
 	retryAfter      time.Duration // as of the coordinator's refusal
@@ -284,7 +285,7 @@
 		version = c.view.Config.Version
 	}
 	c.handler.Log.Event("info", "request ended", "Request", c.info.ID, "Content", c.content, "Parts", c.info.SharedParts, "Route", route, "Service", c.service,
-		"Workspace", o.Workspace, "Tier", tier, "Class", class, "Status", c.status, "Cause", c.cause, "Target", c.targetID,
+		"Workspace", o.Workspace, "Tier", tier, "Class", class, "Status", c.status, "Cause", c.cause, "Target", c.targetID, "TargetVersion", c.targetVersion, "Resumes", c.info.Resumes, "AfterEvent", c.info.LastEventID,
 		"Sends", c.sends, "Ran", c.runs, "Waited", c.queueTime, "Turn", c.expectedWait, "After", c.retryAfter,
 		"Prompt", c.info.PromptTokens, "Output", c.info.MaxOutputTokens, "Events", c.events, "Aim", objective, "First", c.timeToFirstPart, "Pause", c.maxGap, "Total", total,
 		"Version", version, "Revision", c.view.Roster.Revision, "Avoided", strings.Join(c.excludedTargets, ","))
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -69,6 +69,9 @@
 	// the last one, which belongs to the request or its session.
 	SharedParts model.PromptParts
 	LastEventID string // event after which a stream is to continue; empty for its beginning
+	// Resumes is the ID of the request that brought the first event of the stream that is
+	// to continue; empty if not stated.
+	Resumes string
 }
 
 // ForwardInfo holds what a forwarded request's header states in addition to the client's
