A stream goes on only at the software version that began it

Callers saw answers 200 whose text was joined from two versions: those that took a stream up again, and some whose host continued a broken stream within its answer.

Cause: hosts knew no software versions. Resumes and the version of an entry were not read.

Now a request for a resumable stream carries the key of its stream, and the leader records the version of each grant; hosts report theirs to a new leader. A host that continues a stream itself names its version. A stream that is taken up goes on at the recorded version; else at the only version that the service had during the longest life of a stream; else at the version whose engines keep its prompt's last part, which they list when asked (at most twice a second each, and only for such streams): that survives the loss of all hosts, which have no disk and may not write to the store. What cannot be known is refused as VersionUnknown, a version without targets at once as VersionGone, both with when to come back; nothing is begun anew at Last-Event-Id. New streams and plain requests go anywhere, as before.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -13,6 +13,7 @@
 	"yuccadoor/core/crash"
 	"yuccadoor/core/model"
 	"yuccadoor/core/notice"
+	"yuccadoor/core/origin"
 	"yuccadoor/core/parts"
 	"yuccadoor/core/quota"
 	"yuccadoor/core/roster"
@@ -28,7 +29,9 @@
 // queuedRequest is a request in the queue of its service.
 type queuedRequest struct {
 	requestKey
+	versionState
 	request      Request
+	queuedAt     time.Time
 	startBy      time.Time // latest start of the answer that is in time
 	expiresAt    time.Time // when the request is given up
 	cost         float64   // in output tokens
@@ -63,6 +66,7 @@
 	crashes        *crash.Records // of whole requests
 	parts          *parts.Records // crashes by parts of prompts
 	notices        *notice.Store
+	origins        *origin.Store // versions of streams
 	// reportedSerial is the serial of the last crash returned by NewCrashes.
 	reportedSerial uint64
 	answersChanged bool        // an answer was recorded since the last call of NewAnswers
@@ -82,8 +86,8 @@
 		queues: map[string][]*queuedRequest{}, runs: map[requestKey]*run{}, runsByPart: map[model.PromptPart]int{},
 		targets:   map[string]*target{},
 		latencies: map[string]*latencyEstimate{}, meanSizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(self, crashThreshold), parts: parts.NewRecords(self), reachableShare: 1,
-		notices: notice.NewStore(),
-		grants:  map[netip.AddrPort][]Grant{}, refusals: map[netip.AddrPort][]Refusal{},
+		notices: notice.NewStore(), origins: origin.New(),
+		grants: map[netip.AddrPort][]Grant{}, refusals: map[netip.AddrPort][]Refusal{},
 	}
 }
 
@@ -91,6 +95,7 @@
 func (b *Broker) SetConfig(now time.Time, c *routes.Config) {
 	b.config = c
 	b.quota.SetWorkspaces(now, c.Workspaces)
+	b.origins.SetLife(LongestStream(c))
 }
 
 // SetTolerance replaces the tolerance within which allowances are enforced.
@@ -114,6 +119,7 @@
 // SetRoster replaces the list of published targets.
 func (b *Broker) SetRoster(now time.Time, s *roster.Snapshot) {
 	b.roster = s
+	b.origins.SetTargets(now, s)
 	for id := range b.targets {
 		if s.Targets[id] == nil {
 			delete(b.targets, id)
@@ -139,7 +145,10 @@
 	if b.runs[k] != nil {
 		return
 	}
-	q := &queuedRequest{requestKey: k, request: r, startBy: now.Add(r.StartWithin), expiresAt: now.Add(r.ExpiresIn), cost: costOf(r)}
+	q := &queuedRequest{
+		requestKey: k, request: r, queuedAt: now, versionState: versionState{pinned: r.Pinned, version: r.Version, unresolved: r.Resumed && !r.Pinned},
+		startBy: now.Add(r.StartWithin), expiresAt: now.Add(r.ExpiresIn), cost: costOf(r),
+	}
 	q.valuePerCost = b.valueOf(r) / q.cost
 	if refusal, ok := b.crashRefusal(now, r); ok {
 		b.refuse(k, refusal)
@@ -152,6 +161,9 @@
 		}
 	}
 	b.queues[r.Service] = append(b.queues[r.Service], q)
+	if q.unresolved || q.pinned {
+		b.resolveAll(now, r.Service)
+	}
 	b.match(now, r.Service)
 }
 
@@ -282,6 +294,7 @@
 		b.crashesChanged(now)
 	}
 	for service := range b.queues {
+		b.resolveAll(now, service)
 		b.shed(now, service)
 		b.match(now, service)
 	}
@@ -371,5 +384,6 @@
 	t.recordGrant(now, b, q)
 	t.running++
 	b.addRun(q.requestKey, &run{target: t.published.ID, queued: q, parts: q.request.SharedParts, backlog: backlog})
+	b.origins.Record(now, q.request.Stream, t.published.Version)
 	b.grants[q.host] = append(b.grants[q.host], Grant{ID: q.request.ID, Target: t.published.ID})
 }
--- a/core/broker/message.go
+++ b/core/broker/message.go
@@ -29,6 +29,14 @@
 	// time; 0 if the answer is no stream.
 	MaxEventGap time.Duration     `cbor:"15,keyasint,omitempty"`
 	SharedParts model.PromptParts `cbor:"16,keyasint,omitempty"` // of the prompt; not its last part
+	// Stream is the key of a resumable stream, the same for all requests by which its
+	// caller takes it up; 0 if the answer is no such stream.
+	Stream   uint64           `cbor:"17,keyasint,omitempty"`
+	Resumed  bool             `cbor:"18,keyasint,omitempty"` // the caller has the stream's first event from an earlier request
+	LastPart model.PromptPart `cbor:"19,keyasint,omitempty"` // of a resumed stream's prompt; 0 if not stated
+	// Pinned is set if the host itself knows that Version began the stream.
+	Pinned  bool   `cbor:"20,keyasint,omitempty"`
+	Version string `cbor:"21,keyasint,omitempty"`
 }
 
 // Grant allows a host to send one request to one target.
--- a/core/broker/shed.go
+++ b/core/broker/shed.go
@@ -33,8 +33,9 @@
 	kept := queue[:0]
 	for _, q := range queue {
 		remaining := q.expiresAt.Sub(now)
-		unavailable := b.unavailableFor(now, service, q.host, q.request.ExcludedTargets)
-		limited := b.limitedFor(now, service, q.host, q.request.ExcludedTargets)
+		excluded := b.withOtherVersions(q, q.request.ExcludedTargets)
+		unavailable := b.unavailableFor(now, service, q.host, excluded)
+		limited := b.limitedFor(now, service, q.host, excluded)
 		wait := unavailable + limited
 		if unitsPerSecond > 0 {
 			wait += time.Duration(unitsAhead / unitsPerSecond * float64(time.Second))
@@ -98,7 +99,7 @@
 // next try excludes no target, so the target available first counts, whichever it
 // is.
 func (b *Broker) refusalRetryAfter(now time.Time, q *queuedRequest, wait time.Duration) time.Duration {
-	if unavailable := b.unavailableFor(now, q.request.Service, q.host, nil); unavailable > 0 {
+	if unavailable := b.unavailableFor(now, q.request.Service, q.host, b.withOtherVersions(q, nil)); unavailable > 0 {
 		return max(unavailable, minRetryAfter)
 	}
 	return limitRetryAfter(wait)
--- /dev/null
+++ b/core/broker/stream.go
@@ -0,0 +1,130 @@
+package broker
+
+import (
+	"slices"
+	"time"
+
+	"yuccadoor/core/model"
+	"yuccadoor/core/origin"
+	"yuccadoor/core/roster"
+	"yuccadoor/core/routes"
+)
+
+// maxResolveTime is how long the version of a stream may stay unknown: one interval
+// between two listings of targets' parts, and the time that a listing takes.
+const maxResolveTime = 2 * origin.ListInterval
+
+// versionState is the software version that a request needs.
+type versionState struct {
+	pinned     bool // only targets of version may run it
+	version    string
+	unresolved bool // the version is yet to be found
+}
+
+// allows reports whether a target is of the version that a request needs.
+func (v *versionState) allows(t *roster.Target) bool {
+	return !v.unresolved && (!v.pinned || t.Version == v.version)
+}
+
+// LongestStream is the longest time that a request for a resumable stream may take.
+func LongestStream(c *routes.Config) time.Duration {
+	var longest time.Duration
+	for i := range c.Routes {
+		if r := &c.Routes[i]; r.Kind == routes.Stream && r.Resumable {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
+// resolve determines the version that began the stream of a request. It returns false if
+// it cannot be known.
+func (b *Broker) resolve(now time.Time, q *queuedRequest) bool {
+	if !q.unresolved {
+		return true
+	}
+	version, verdict := b.origins.Version(now, origin.Stream{
+		Service: q.request.Service, Key: q.request.Stream, Part: q.request.LastPart, AskedAt: q.queuedAt,
+	})
+	switch verdict {
+	case origin.Known:
+		q.versionState = versionState{pinned: true, version: version}
+	case origin.Pending:
+		return now.Sub(q.queuedAt) < maxResolveTime
+	}
+	return verdict == origin.Known
+}
+
+// resolveAll determines the versions of waiting requests, and refuses those whose version
+// cannot be known or has no target left.
+func (b *Broker) resolveAll(now time.Time, service string) {
+	queue := b.queues[service]
+	b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool {
+		switch {
+		case !b.resolve(now, q):
+			b.refuseVersion(q, "VersionUnknown")
+		case q.pinned && !b.hasVersion(q):
+			b.refuseVersion(q, "VersionGone")
+		default:
+			return false
+		}
+		return true
+	})
+}
+
+// refuseVersion refuses a request whose stream cannot go on now. Another server of its
+// version may be published some seconds later.
+func (b *Broker) refuseVersion(q *queuedRequest, cause string) {
+	b.returnTokens(q)
+	b.refuse(q.requestKey, Refusal{ID: q.request.ID, RetryAfter: maxRetryAfter, Cause: cause})
+}
+
+// hasVersion reports whether a request's version has a target that it may use.
+func (b *Broker) hasVersion(q *queuedRequest) bool {
+	return slices.ContainsFunc(b.roster.ForService(q.request.Service), func(t *roster.Target) bool {
+		return q.allows(t) && !slices.Contains(q.request.ExcludedTargets, t.ID)
+	})
+}
+
+// withOtherVersions returns excluded targets and those of versions that a request cannot
+// use.
+func (b *Broker) withOtherVersions(q *queuedRequest, excluded []string) []string {
+	if !q.pinned {
+		return excluded
+	}
+	all := slices.Clone(excluded)
+	for _, t := range b.roster.ForService(q.request.Service) {
+		if !q.allows(t) {
+			all = append(all, t.ID)
+		}
+	}
+	return all
+}
+
+// MergeStreams records the streams that a host has begun under former leaders.
+func (b *Broker) MergeStreams(now time.Time, begun []origin.Begun) {
+	b.origins.Merge(now, begun)
+}
+
+// TargetsToList returns the targets that are to list the parts of prompts that they keep,
+// so that versions of waiting streams can be told.
+func (b *Broker) TargetsToList(now time.Time) []*roster.Target {
+	var targets []*roster.Target
+	for service, queue := range b.queues {
+		for _, q := range queue {
+			if q.unresolved {
+				targets = append(targets, b.origins.TargetsToList(now, service, q.queuedAt)...)
+			}
+		}
+	}
+	return targets
+}
+
+// RecordParts records the parts of prompts that a target keeps; nil if it did not tell.
+func (b *Broker) RecordParts(now time.Time, target string, parts []model.PromptPart) {
+	b.origins.RecordParts(target, parts)
+	if t := b.roster.Targets[target]; t != nil {
+		b.resolveAll(now, t.Service)
+		b.match(now, t.Service)
+	}
+}
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -284,7 +284,7 @@
 	var best *target
 	lowest := math.Inf(1)
 	for _, t := range free {
-		if slices.Contains(q.request.ExcludedTargets, t.published.ID) || !t.hasCapacity(now, b) || t.blockedFor(now, q.host) > 0 || !allowed(now, q, t) || !b.keepsEventGaps(now, q, t) {
+		if !q.allows(t.published) || slices.Contains(q.request.ExcludedTargets, t.published.ID) || !t.hasCapacity(now, b) || t.blockedFor(now, q.host) > 0 || !allowed(now, q, t) || !b.keepsEventGaps(now, q, t) {
 			continue
 		}
 		if s := b.score(now, q, t); s < lowest {
--- /dev/null
+++ b/core/origin/origin.go
@@ -0,0 +1,245 @@
+// Package origin determines which software version of a service began a stream. What two
+// versions write does not fit together, so that a stream may go on only at the version
+// that began it, whichever host its caller takes it up at. The package does no I/O; one
+// goroutine owns a Store.
+package origin
+
+import (
+	"maps"
+	"time"
+
+	"yuccadoor/core/model"
+	"yuccadoor/core/roster"
+)
+
+// Timing of decisions.
+const (
+	// A caller that is refused tries again later, and may wait longer than operators keep
+	// one request: a stream may be taken up for lifeFactor times the longest request, and
+	// for lifeMargin, the sum of some refusals' Retry-After and of publishing delays.
+	lifeFactor = 2
+	lifeMargin = 10 * time.Second
+	// initialLife is the longest life of a stream before a configuration is known.
+	initialLife = time.Minute
+	// ListInterval is the time between two listings of the parts that a target keeps,
+	// each of which delays its work.
+	ListInterval = 500 * time.Millisecond
+	// maxListTime is how long a target may take to list its parts.
+	maxListTime = 400 * time.Millisecond
+)
+
+// Stream identifies a stream that is to go on.
+type Stream struct {
+	Service string
+	Key     uint64           // the same for all requests of the stream; 0 if unknown
+	Part    model.PromptPart // last part of its prompt, which no other stream has; 0 if unknown
+	AskedAt time.Time        // when its caller took it up
+}
+
+// Verdict is what is known of the version that began a stream.
+type Verdict string
+
+// Verdicts.
+const (
+	Known   Verdict = "Known"
+	Pending Verdict = "Pending" // the service's targets have not listed their parts yet
+	Unknown Verdict = "Unknown"
+)
+
+// Begun is a stream that a host has begun, as reported to a new leader.
+type Begun struct {
+	Key     uint64        `cbor:"1,keyasint,omitempty"`
+	Version string        `cbor:"2,keyasint,omitempty"`
+	Age     time.Duration `cbor:"3,keyasint,omitempty"` // since its last request was granted
+}
+
+// Log holds the versions of streams for as long as they may go on.
+type Log struct {
+	life    time.Duration // longest time between two requests of a stream
+	streams map[uint64]record
+	sweptAt time.Time
+}
+
+type record struct {
+	version string
+	at      time.Time
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log { return &Log{life: initialLife, streams: map[uint64]record{}} }
+
+// SetLife sets the longest time that a request for a stream may take.
+func (l *Log) SetLife(longest time.Duration) { l.life = lifeFactor*longest + lifeMargin }
+
+// Record records the version to which a request for a stream is sent. Until its first
+// event has come, the last version counts.
+func (l *Log) Record(now time.Time, key uint64, version string) {
+	if key == 0 {
+		return
+	}
+	l.streams[key] = record{version, now}
+	if now.Sub(l.sweptAt) < l.life {
+		return
+	}
+	l.sweptAt = now
+	maps.DeleteFunc(l.streams, func(_ uint64, r record) bool { return now.Sub(r.at) > l.life })
+}
+
+// Begun returns all streams that may go on.
+func (l *Log) Begun(now time.Time) []Begun {
+	var begun []Begun
+	for key, r := range l.streams {
+		if age := now.Sub(r.at); age <= l.life {
+			begun = append(begun, Begun{key, r.version, age})
+		}
+	}
+	return begun
+}
+
+// Store is what the leader knows of all streams.
+type Store struct {
+	log     *Log
+	targets *roster.Snapshot
+	since   time.Time // from which on it is known what was published; zero before
+	// seen is when a version of a service was last published, by service.
+	seen     map[string]map[string]time.Time
+	listings map[string]listing // by target
+}
+
+// listing is the answer of a target that was asked for the parts that it keeps.
+type listing struct {
+	askedAt  time.Time
+	answered bool // or failed
+	parts    map[model.PromptPart]bool
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{log: NewLog(), targets: roster.New().Snapshot(), seen: map[string]map[string]time.Time{}, listings: map[string]listing{}}
+}
+
+// SetLife sets the longest time that a request for a stream may take.
+func (s *Store) SetLife(longest time.Duration) { s.log.SetLife(longest) }
+
+// SetTargets replaces the published targets.
+func (s *Store) SetTargets(now time.Time, targets *roster.Snapshot) {
+	if s.since.IsZero() {
+		s.since = now
+	}
+	s.markSeen(now) // the former ones were published until now
+	s.targets = targets
+	s.markSeen(now)
+	maps.DeleteFunc(s.listings, func(id string, _ listing) bool { return targets.Targets[id] == nil })
+}
+
+func (s *Store) markSeen(now time.Time) {
+	for _, t := range s.targets.Targets {
+		if s.seen[t.Service] == nil {
+			s.seen[t.Service] = map[string]time.Time{}
+		}
+		s.seen[t.Service][t.Version] = now
+	}
+}
+
+// Record records the version to which a request for a stream is sent.
+func (s *Store) Record(now time.Time, key uint64, version string) { s.log.Record(now, key, version) }
+
+// Merge records the streams that a host has begun under former leaders.
+func (s *Store) Merge(now time.Time, begun []Begun) {
+	for _, b := range begun {
+		if at := now.Add(-b.Age); b.Key != 0 && at.After(s.log.streams[b.Key].at) {
+			s.log.streams[b.Key] = record{b.Version, at}
+		}
+	}
+}
+
+// Version returns the version that began a stream: as recorded, as the only one that can
+// have begun it, or as that of the targets that keep its prompt.
+func (s *Store) Version(now time.Time, stream Stream) (string, Verdict) {
+	if r, ok := s.log.streams[stream.Key]; ok && stream.Key != 0 && now.Sub(r.at) <= s.log.life {
+		return r.version, Known
+	}
+	if version, ok := s.onlyVersion(now, stream.Service); ok {
+		return version, Known
+	}
+	if stream.Part == 0 {
+		return "", Unknown
+	}
+	return s.versionKeeping(now, stream)
+}
+
+// onlyVersion returns the version of a service if it had no other during the longest life
+// of a stream.
+func (s *Store) onlyVersion(now time.Time, service string) (string, bool) {
+	if s.since.IsZero() || now.Sub(s.since) < s.log.life {
+		return "", false
+	}
+	s.markSeen(now)
+	only, found := "", false
+	for version, at := range s.seen[service] {
+		if now.Sub(at) > s.log.life {
+			delete(s.seen[service], version)
+			continue
+		}
+		if found {
+			return "", false
+		}
+		only, found = version, true
+	}
+	return only, found
+}
+
+// versionKeeping returns the only version whose targets keep the prompt of a stream, by
+// listings that were asked for after the stream was taken up.
+func (s *Store) versionKeeping(now time.Time, stream Stream) (string, Verdict) {
+	version, found := "", false
+	for id, t := range s.targets.Targets {
+		if t.Service != stream.Service {
+			continue
+		}
+		l := s.listings[id]
+		if l.askedAt.Before(stream.AskedAt) || !l.answered && now.Sub(l.askedAt) < maxListTime {
+			return "", Pending
+		}
+		if !l.parts[stream.Part] {
+			continue
+		}
+		if found && version != t.Version {
+			return "", Unknown
+		}
+		version, found = t.Version, true
+	}
+	if !found {
+		return "", Unknown
+	}
+	return version, Known
+}
+
+// TargetsToList returns the targets of a service that are to list their parts, so that
+// the version of a stream that was taken up at a time can be told, and takes them as
+// asked.
+func (s *Store) TargetsToList(now time.Time, service string, askedAt time.Time) []*roster.Target {
+	var targets []*roster.Target
+	for id, t := range s.targets.Targets {
+		l, ok := s.listings[id]
+		if t.Service != service || ok && (!l.askedAt.Before(askedAt) || now.Sub(l.askedAt) < ListInterval) {
+			continue
+		}
+		s.listings[id] = listing{askedAt: now}
+		targets = append(targets, t)
+	}
+	return targets
+}
+
+// RecordParts records the parts that a target keeps; nil if it did not tell.
+func (s *Store) RecordParts(id string, parts []model.PromptPart) {
+	l, ok := s.listings[id]
+	if !ok {
+		return
+	}
+	l.answered, l.parts = true, map[model.PromptPart]bool{}
+	for _, p := range parts {
+		l.parts[p] = true
+	}
+	s.listings[id] = l
+}
--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -60,6 +60,7 @@
 	ctx := context.WithoutCancel(e.ctx)
 	h, cleanup, err := edge.New(ctx, node.Edge, edge.Options{
 		LogTo: e.out, Dialect: platform.Dialect{}, Source: storeSource(node),
+		ListParts: platform.NewPartsReader(nil).Read,
 	})
 	if err != nil {
 		return err
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -16,7 +16,9 @@
 
 	"yuccadoor/core/broker"
 	"yuccadoor/core/hosts"
+	"yuccadoor/core/model"
 	"yuccadoor/core/notice"
+	"yuccadoor/core/origin"
 	"yuccadoor/core/quota"
 	"yuccadoor/core/ring"
 	"yuccadoor/core/roster"
@@ -78,6 +80,8 @@
 	LocalPolicy spread.Policy
 	// SetReading starts or stops this host's reading of the store; may be nil.
 	SetReading func(on bool)
+	// ListParts asks a target for the parts of prompts that it keeps; may be nil.
+	ListParts func(ctx context.Context, target netip.AddrPort) ([]model.PromptPart, error)
 }
 
 // View is an immutable snapshot of the state needed to handle requests.
@@ -144,6 +148,7 @@
 	stopping          bool
 	restrictions      *notice.Restrictions // which targets this host must not use, from their notices
 	sharedNotices     []notice.Notice      // not yet sent to other hosts
+	streams           *origin.Log          // resumable streams of this host
 	departures        []roster.Departure   // read from the store, not yet sent to other hosts
 }
 
@@ -166,7 +171,7 @@
 		roster: roster.New(), broker: broker.New(s.Tolerance, s.Incarnation),
 		usage:   quota.NewUsage(now, s.Tolerance.Window),
 		pending: map[uint64]*pendingRequest{}, running: map[uint64]grantedRequest{},
-		peersAhead:  map[netip.AddrPort]announcement{},
+		peersAhead: map[netip.AddrPort]announcement{}, streams: origin.NewLog(),
 		clientHosts: map[netip.AddrPort]bool{}, nextID: rand.Uint64() >> 16,
 		lastBootTime: s.BootTime(), lastRunAt: now,
 	}
@@ -222,6 +227,7 @@
 	}
 	c.fetchFromPeer(now)
 	c.broker.Tick(now)
+	c.listParts(now)
 }
 
 // logBacklog logs that events wait longer than decisions should.
--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"yuccadoor/core/broker"
 	"yuccadoor/core/roster"
 	"yuccadoor/core/routes"
 	"yuccadoor/io/pack"
@@ -25,6 +26,7 @@
 		"Routes", len(config.Routes), "Behind", behind)
 	c.config, c.encoded = config, nil
 	c.broker.SetConfig(now, config)
+	c.streams.SetLife(broker.LongestStream(config))
 	c.publish()
 	c.announceConfig(now)
 }
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -7,6 +7,7 @@
 	"yuccadoor/core/broker"
 	"yuccadoor/core/member"
 	"yuccadoor/core/notice"
+	"yuccadoor/core/origin"
 	"yuccadoor/core/parts"
 	"yuccadoor/core/quota"
 	"yuccadoor/io/pack"
@@ -35,6 +36,8 @@
 	QuotaUsage []quota.UsageEntry `cbor:"3,keyasint,omitempty"`
 	// Notices are the notices from targets that are still in effect.
 	Notices []notice.Notice `cbor:"4,keyasint,omitempty"`
+	// Streams are the resumable streams that the host has begun.
+	Streams []origin.Begun `cbor:"5,keyasint,omitempty"`
 }
 
 // Decisions carries a leader's decisions on a host's requests.
@@ -153,7 +156,7 @@
 	leader := process{c.leader, c.hosts.Incarnation(c.leader)}
 	known := leader == c.usageSentTo
 	c.usageSentTo = leader
-	s := HostState{Notices: c.broker.HandoverNotices(now, c.self())}
+	s := HostState{Notices: c.broker.HandoverNotices(now, c.self()), Streams: c.streams.Begun(now)}
 	if !known {
 		s.QuotaUsage = c.usage.Entries(now)
 	}
@@ -177,6 +180,7 @@
 	c.clientHosts[host] = true
 	c.broker.Charge(now, s.QuotaUsage)
 	c.applyNotices(now, host, s.Notices)
+	c.broker.MergeStreams(now, s.Streams)
 	c.broker.Sync(now, host, s.Running, s.Requests)
 	c.sendAllCrashes(now, host)
 	c.sendNotices(now, host)
@@ -263,6 +267,9 @@
 			c.usage.Add(c.settings.Now(), run.workspace, run.tokens)
 		}
 		c.running[g.ID] = run
+		if t := c.roster.Snapshot().Targets[g.Target]; t != nil {
+			c.streams.Record(c.settings.Now(), p.request.Stream, t.Version)
+		}
 		p.decision <- Decision{Target: g.Target}
 	}
 	for _, r := range d.Refusals {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -21,6 +21,7 @@
 
 	"yuccadoor/core/budget"
 	"yuccadoor/core/kernel"
+	"yuccadoor/core/model"
 	"yuccadoor/core/quota"
 	"yuccadoor/core/spread"
 	"yuccadoor/io/accept"
@@ -94,7 +95,9 @@
 	Dialect gate.Dialect
 	Source  SourceFunc
 	Dial    conns.DialFunc // to targets; nil for TCP
-	Now     func() time.Time
+	// ListParts asks a target for the parts of prompts that it keeps; may be nil.
+	ListParts func(ctx context.Context, target netip.AddrPort) ([]model.PromptPart, error)
+	Now       func() time.Time
 }
 
 // Host is a running entry host.
@@ -168,6 +171,7 @@
 	c, cleanup := coord.New(ctx, coord.Settings{
 		Self: h.settings.Peer, Zone: h.settings.Zone, Incarnation: rand.Uint64(), CPUShare: h.settings.CPUShare,
 		Seeds: h.settings.Seeds, Tolerance: h.settings.Tolerance, LocalPolicy: h.settings.LocalPolicy, Log: h.log, Counters: m, Now: h.options.Now, BootTime: bootTime,
+		ListParts: h.options.ListParts,
 		OnPause: func() {
 			if s, err := kernel.Lookup[*relay.Sender](k, serviceRelay); err == nil {
 				s.CloseIdle()
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -37,6 +37,7 @@
 // streamState is how much of a stream has been forwarded to the client.
 type streamState struct {
 	started     bool   // the response header has been sent
+	version     string // of the target that began it
 	lastEventID string // of the last event forwarded
 }
 
@@ -285,7 +286,7 @@
 // startStream sends the response header of a stream.
 func (c *call) startStream(response *relay.Response) {
 	copyHeader(c.writer.Header(), response.Header)
-	c.stream.started = true
+	c.stream.started, c.stream.version = true, c.targetVersion
 	c.status = response.Status
 	c.writer.WriteHeader(response.Status)
 }
--- a/io/gate/call.go
+++ b/io/gate/call.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -229,6 +230,11 @@
 		r.Workspace = c.workspace.Name
 		r.QuotaTokens = c.allowanceCost(c.workspace.Allowance)
 	}
+	if c.route.Kind == routes.Stream && c.route.Resumable {
+		r.Stream = xxhash.Sum64String(cmp.Or(c.info.Resumes, c.info.ID))
+		r.Resumed, r.LastPart = c.info.LastEventID != "", c.info.LastPart
+		r.Pinned, r.Version = c.stream.started, c.stream.version
+	}
 	if c.stream.started {
 		// The client has a part of the stream and waits for its next event.
 		r.ExpiresIn = c.deadline.Sub(now)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -68,7 +68,8 @@
 	// SharedParts are the parts of the prompt that other requests may have too; not
 	// the last one, which belongs to the request or its session.
 	SharedParts model.PromptParts
-	LastEventID string // event after which a stream is to continue; empty for its beginning
+	LastPart    model.PromptPart // of the prompt; 0 if not stated
+	LastEventID string           // event after which a stream is to continue; empty for its beginning
 	// Resumes is the ID of the request that brought the first event of the stream that is
 	// to continue; empty if not stated.
 	Resumes string
