A stream of a service without prompts goes on at the only version that is known

Nothing but the published versions can tell then; it is served as before. A host that has just started may so be wrong if the last target of another version left a moment ago.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -159,21 +159,27 @@
 	if r, ok := s.log.streams[stream.Key]; ok && stream.Key != 0 && now.Sub(r.at) <= s.log.life {
 		return r.version, Known
 	}
-	if version, ok := s.onlyVersion(now, stream.Service); ok {
+	version, ok := s.onlyVersion(now, stream.Service)
+	switch {
+	case ok && (s.knowsAll(now) || stream.Part == 0):
+		// Without a prompt, nothing else can tell: a host that has just started goes by
+		// what it has seen.
 		return version, Known
-	}
-	if stream.Part == 0 {
+	case stream.Part == 0:
 		return "", Unknown
 	}
 	return s.versionKeeping(now, stream)
 }
 
-// onlyVersion returns the version of a service if it had no other during the longest life
-// of a stream.
+// knowsAll reports whether it is known what was published during the longest life of a
+// stream.
+func (s *Store) knowsAll(now time.Time) bool {
+	return !s.since.IsZero() && now.Sub(s.since) >= s.log.life
+}
+
+// onlyVersion returns the version of a service if no other is known to have been
+// published during the longest life of a stream.
 func (s *Store) onlyVersion(now time.Time, service string) (string, bool) {
-	if s.since.IsZero() || now.Sub(s.since) < s.log.life {
-		return "", false
-	}
 	s.markSeen(now)
 	only, found := "", false
 	for version, at := range s.seen[service] {
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -70,6 +70,7 @@
 	for _, q := range r.requests {
 		r.report.Requests++
 		r.checkRequest(q, runs[q.id])
+		r.checkVersions(q, runs)
 	}
 }
 
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -85,6 +85,7 @@
 		{"store forgets its history", (*run).compactStore},
 		{faultStoreRestored, (*run).restoreStore},
 		{"servers misbehave", (*run).failServers},
+		{faultStreamsBreak, (*run).breakStreams},
 		{"server leaves and comes back cold", (*run).drainServer},
 		{"zone taken out", (*run).evacuateZone},
 		{"server turns cold", (*run).makeEngineCold},
@@ -219,10 +220,12 @@
 }
 
 // failServers makes half of the servers fail one request in three.
-func (r *run) failServers(n int) func() {
-	f := serverFaults[n%len(serverFaults)]
+func (r *run) failServers(n int) func() { return r.failSome(serverFaults[n%len(serverFaults)], n%2) }
+
+// failSome makes every second server, from the first-th on, fail one request in three.
+func (r *run) failSome(f stand.Fault, first int) func() {
 	for i, s := range r.servers {
-		if i%2 == n%2 {
+		if i%2 == first {
 			served := 0
 			s.InjectFaults(func(*http.Request) stand.Fault {
 				if served++; served%3 == 0 {
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -98,6 +98,7 @@
 	sent     time.Time
 	reply    stand.Reply
 	answered time.Time
+	takenUp  string // id of the request by which its caller took the stream up; empty for none
 }
 
 // departure is the time during which a server had left and hosts were able to learn
@@ -194,7 +195,7 @@
 func (r *run) startServer(n int) (*stand.Server, func(), error) {
 	s := &stand.Server{
 		ID: fmt.Sprint("server-", n), Service: []string{"plain", "engine"}[n%2], Zone: zone(n / 2), Slots: 4,
-		Events: 10, EventInterval: 4 * time.Millisecond, ProcessingTime: 5 * time.Millisecond, Tamper: r.settings.Tamper,
+		Version: []string{"v1", "v2"}[n/4%2], Events: 10, EventInterval: 4 * time.Millisecond, ProcessingTime: 5 * time.Millisecond, Tamper: r.settings.Tamper,
 	}
 	_, stop, err := stand.NewServer(r.hostAddress(serversIndex), s)
 	if err != nil {
@@ -319,8 +320,9 @@
 		pending.Go(func() {
 			reply := stand.Send(context.WithoutCancel(ctx), h.node.Front, "POST", route.Prefix+"x", q.id, key, "body", clientTimeout, stand.Prompt(q.id, sharedParts...))
 			r.mu.Lock()
-			defer r.mu.Unlock()
 			q.reply, q.answered = reply, time.Now()
+			r.mu.Unlock()
+			r.takeUp(context.WithoutCancel(ctx), q, key)
 		})
 	}
 }
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -37,6 +37,7 @@
 		{4003, "a request without a body crashed servers 17 times", []string{faultRequestCrashes}},
 		{5101, "requests with one part in common crashed servers 19 times", []string{faultPartCrashes}},
 		{5103, "nothing", []string{faultStoreRestored, faultDepartureLost, "server leaves and comes back cold", "zone taken out", "host killed"}},
+		{5104, "streams went on at another version", []string{faultStreamsBreak, "host killed", "host stopped gracefully"}},
 		{5102, "a server that named a limit of 1 got 12 requests in 4 s", []string{faultServerLimit}},
 	} {
 		r, err := Run(context.Background(), Settings{Program: path, Hosts: 3, Seed: c.seed, Length: 6 * time.Second, Only: c.only})
@@ -60,6 +61,7 @@
 		{"Left", faultServersLeave, "after it had left"},
 		{"Left", faultDepartureLost, "after it had left"},
 		{"Left", faultServerAnnounces, "after it had left"},
+		{"Version", faultStreamsBreak, "went on at"},
 		{"Crash", faultRequestCrashes, "crashed servers"},
 		{"Crash", faultPartCrashes, "part bad0"},
 		{"Limit", faultServerLimit, "limit of server-"},
