A refusal that a target writes once more is not taken for an answer

Here copies are skipped by their request's id, and connections with unread bytes are not kept. A host sends a request no second time to a target that refused it, but a caller may repeat its id; then, on the same connection, the copy of the refusal was taken for the answer, also of a 421. A piece of an earlier answer could give the next one its status: 'HTTP/1.1 503 Service Unav', or a header that ends within its name, before 'HTTP/1.1 200 OK'.

Now a connection that carried a refusal is closed, and a response whose first line stands within its header fails. Four of five cases of TestRefusalWrittenOnceMoreIsNotAnAnswer failed before; copies for another request were skipped already.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -239,6 +239,9 @@
 			return err
 		}
 		r.conn.ClearReadLimit()
+		if isSpliced(resp) {
+			return errors.New("the response begins with a piece of another one")
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -265,6 +268,23 @@
 	return errors.Errorf("%d responses in a row are informational or for other requests", maxForeignResponses)
 }
 
+// isSpliced reports whether a response's first line stands within its header, after a
+// piece of another response.
+func isSpliced(resp *http.Response) bool {
+	const version = "HTTP/1."
+	if strings.Contains(resp.Status, version) {
+		return true
+	}
+	for _, values := range resp.Header {
+		for _, v := range values {
+			if strings.HasPrefix(v, version) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Verified reports whether the response has the target's stamp and no content encoding.
 // Targets do not encode content, so an encoded response comes from something else.
 func (r *Response) Verified() bool {
@@ -342,10 +362,12 @@
 }
 
 // Close ends the call. The connection is kept only if the response was read to its end,
-// the whole request was written, and nothing else has arrived.
+// the whole request was written, and nothing else has arrived. It is not kept after a
+// refusal: a second copy of that could not be told from the answer to a repeat of the
+// same request.
 func (r *Response) Close() {
 	r.sender.buffered.Add(-r.buffered)
-	if !r.stopCancel() || !r.complete || r.resp.Close || !r.bodySent() || r.conn.Reader.Buffered() > 0 {
+	if !r.stopCancel() || !r.complete || r.NotRun || r.resp.Close || !r.bodySent() || r.conn.Reader.Buffered() > 0 {
 		r.conn.Conn.Close()
 		return
 	}
