More hosts stand in when most readers of the store fail

Cause: the leader replaced failed readers three at a time, and each finds only after a second that the store is silent to it; the one host that could read was in the third round. Now eight stand in once most readers fail.

--- a/core/hosts/hosts_test.go
+++ b/core/hosts/hosts_test.go
@@ -338,3 +338,48 @@
 		assert.Equal(t, alive, 3)
 	}
 }
+
+// Guards against a leader that replaces failed readers a few at a time: a store that was
+// silent towards all hosts but one was read too late.
+func TestOnlyHostThatCanReadReadsInTime(t *testing.T) {
+	const (
+		watchSilence = 1600 * time.Millisecond // until a reader's watch has failed, and its listing
+		listSilence  = time.Second             // until the first listing of another host has failed
+		applyTime    = 2 * time.Second         // within which a configuration must be in force
+		spreadTime   = 250 * time.Millisecond  // to fetch it from the one reader
+		published    = 360 * time.Millisecond  // after the store fell silent
+	)
+	for able := range 8 {
+		f := newFleet(8)
+		f.run(3 * time.Second)
+		began := map[*Hosts]time.Time{}
+		silent := f.now
+		reads := time.Time{}
+		for reads.IsZero() && f.now.Sub(silent) < 10*time.Second {
+			for a, h := range f.hosts {
+				if !h.IsReader(f.now) {
+					delete(began, h)
+					h.StopReading(f.now)
+					continue
+				}
+				if began[h].IsZero() {
+					began[h] = f.now
+				}
+				if a == address(able) {
+					reads = f.now
+					continue
+				}
+				since, patience := began[h], listSilence
+				if !since.After(silent) {
+					since, patience = silent, watchSilence
+				}
+				if f.now.Sub(since) >= patience {
+					h.SetReadFailing(f.now, true)
+				}
+			}
+			f.run(50 * time.Millisecond)
+		}
+		took := reads.Sub(silent) - published
+		assert.Check(t, took <= applyTime-spreadTime, "host %d reads %s after the configuration was published", able, took)
+	}
+}
--- a/core/hosts/readers.go
+++ b/core/hosts/readers.go
@@ -16,6 +16,10 @@
 	// if possible, facts arrive as long as any one of them can read, and the load on
 	// the store does not grow with the fleet.
 	readerCount = 3
+	// maxStandIns is how many hosts stand in when most readers fail: a store that is
+	// silent fails each of them for a second or more, and a change must be in force on all
+	// hosts within two.
+	maxStandIns = 8
 	// readFailureTimeout is how long a former reader whose reads failed counts as
 	// unable to read. It is many times a reader's own retry interval, so that an
 	// unreachable store receives few more attempts than those of the first readers.
@@ -112,8 +116,12 @@
 	able := slices.DeleteFunc(slices.Clone(live), func(c candidate) bool {
 		return c.ReadFailing || h.isLeader && c.Address != h.self.Address && now.Sub(h.members[c.Address].lastHeard) > maxReaderSilence
 	})
-	readers := selectReaders(live)
-	for _, a := range selectReaders(able) {
+	standIns := readerCount
+	if len(live)-len(able) > readerCount/2 {
+		standIns = maxStandIns
+	}
+	readers := selectReaders(live, readerCount)
+	for _, a := range selectReaders(able, standIns) {
 		if !slices.Contains(readers, a) {
 			readers = append(readers, a)
 		}
@@ -145,14 +153,14 @@
 	return cmp.Or(cmp.Compare(d.preference, c.preference), cmp.Compare(d.hash, c.hash))
 }
 
-// selectReaders returns readerCount of the sorted candidates: the first of each zone, then the
+// selectReaders returns count of the sorted candidates: the first of each zone, then the
 // first of all zones.
-func selectReaders(candidates []candidate) []netip.AddrPort {
+func selectReaders(candidates []candidate, count int) []netip.AddrPort {
 	var selected []netip.AddrPort
 	zones := map[string]bool{}
 	for pass := range 2 {
 		for _, c := range candidates {
-			if firstOfZone := !zones[c.Zone]; firstOfZone != (pass == 0) || len(selected) == readerCount || slices.Contains(selected, c.Address) {
+			if firstOfZone := !zones[c.Zone]; firstOfZone != (pass == 0) || len(selected) == count || slices.Contains(selected, c.Address) {
 				continue
 			}
 			zones[c.Zone] = true
