--- a/core/broker/notice.go
+++ b/core/broker/notice.go
@@ -22,17 +22,31 @@
 	return true
 }
 
-// setNotice sets what is known of a target by its notices. Under a new limit the first
-// grant waits for its turn, since requests that former leaders granted may be on their
-// way.
+// setNotice sets what is known of a target by its notices. Under a new limit, or once the
+// target is known to be cold, the first grant waits for its turn, since requests that
+// former leaders granted may be on their way.
 func (b *Broker) setNotice(now time.Time, t *target) {
 	_, wasLimited := t.notice.Limit()
+	wasCold := t.cold(now)
 	t.notice = b.notices.Lookup(t.published)
+	if interval := b.coldInterval(t); interval > 0 && t.cold(now) && !wasCold {
+		t.nextColdGrant = now.Add(interval)
+	}
 	if interval := b.limitInterval(t); interval > 0 && !wasLimited {
 		t.nextLimitedGrant = now.Add(interval)
 	}
 }
 
+// coldInterval is the time between two grants of a cold target; 0 without a limit. A part
+// of the fleet uses its share of the limit.
+func (b *Broker) coldInterval(t *target) time.Duration {
+	s := b.config.Service(t.published.Service)
+	if s == nil || s.ColdPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / (s.ColdPerSecond * max(b.reachableShare, minReachableShare)))
+}
+
 // limitInterval is the time between two grants of a target that has named a limit; 0
 // without a limit. A part of the fleet uses its share of the limit.
 func (b *Broker) limitInterval(t *target) time.Duration {
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -94,7 +94,7 @@
 // cold reports whether the target is limited to its cold rate, as published or as
 // reported with an answer.
 func (t *target) cold(now time.Time) bool {
-	return t.published.Cold(now) || now.Before(t.coldUntil)
+	return t.published.Cold(now) || now.Before(t.coldUntil) || t.notice.Cold(now)
 }
 
 // blockedFor is how much longer a host backs off from the target.
@@ -163,12 +163,9 @@
 	if interval := b.limitInterval(t); interval > 0 {
 		t.nextLimitedGrant = now.Add(interval)
 	}
-	s := b.config.Service(t.published.Service)
-	if s == nil || s.ColdPerSecond <= 0 || !t.cold(now) {
-		return
+	if interval := b.coldInterval(t); interval > 0 && t.cold(now) {
+		t.nextColdGrant = now.Add(interval)
 	}
-	interval := time.Duration(float64(time.Second) / (s.ColdPerSecond * max(b.reachableShare, minReachableShare)))
-	t.nextColdGrant = now.Add(interval)
 }
 
 // recordOutcome records how a request ended.
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -1,6 +1,6 @@
 // Package notice stores what targets report of themselves with their answers:
-// that they are leaving, that a host should send them nothing for a time, or how many
-// requests they take from all hosts together. This covers servers that shut down or
+// that they are leaving, that a host should send them nothing for a time, how many
+// requests they take from all hosts together, or how long they stay cold. This covers servers that shut down or
 // are overloaded while the published list of targets is out of date. The package does no I/O; one goroutine owns a Store,
 // and others read the Restrictions of their host.
 package notice
@@ -29,6 +29,9 @@
 	// maxHandover is the number of notices that a host hands over to a new
 	// leader, about 10 KB.
 	maxHandover = 256
+	// coldTolerance is the difference between two statements of the end of a cold phase
+	// that counts as none: answers are delayed by different times.
+	coldTolerance = 250 * time.Millisecond
 )
 
 // Notice is what one answer of a target reports of the target. A zero Pause asks
@@ -43,13 +46,16 @@
 	Limit float64 `cbor:"5,keyasint,omitempty"`
 	// Unlimited is set if the target had named a limit and names none any more.
 	Unlimited bool `cbor:"6,keyasint,omitempty"`
+	// Cold is how long the target stays cold, from receipt on; 0 if it is warm or does
+	// not say.
+	Cold time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // Empty reports whether the notice contains nothing.
 func (n Notice) Empty() bool { return n.Pause <= 0 && !n.ForAllHosts() }
 
 // ForAllHosts reports whether the notice contains something that concerns all hosts.
-func (n Notice) ForAllHosts() bool { return n.Leaving || n.Limit > 0 || n.Unlimited }
+func (n Notice) ForAllHosts() bool { return n.Leaving || n.Limit > 0 || n.Unlimited || n.Cold > 0 }
 
 // State is what one lifetime of a target has reported of itself. A nil State has
 // no reports.
@@ -60,8 +66,12 @@
 	pauses     map[netip.AddrPort]time.Time // end of the pause, by host
 	limit      float64                      // requests a second; 0 for none
 	limitedAt  time.Time                    // when the limit became known
+	coldUntil  time.Time                    // end of the cold phase
 }
 
+// Cold reports whether the target has reported that it is cold.
+func (s *State) Cold(now time.Time) bool { return s != nil && now.Before(s.coldUntil) }
+
 // Limit returns the number of requests a second that the target takes from all hosts
 // together, and whether there is such a limit.
 func (s *State) Limit() (perSecond float64, ok bool) {
@@ -100,7 +110,8 @@
 // covers reports whether a notice adds nothing to the state for a host.
 func (s *State) covers(now time.Time, host netip.AddrPort, n Notice) bool {
 	return (s.leaving || !n.Leaving) && s.PauseLeft(now, host) >= n.Pause &&
-		(n.Limit == 0 || n.Limit == s.limit) && (!n.Unlimited || s.limit == 0)
+		(n.Limit == 0 || n.Limit == s.limit) && (!n.Unlimited || s.limit == 0) &&
+		(n.Cold <= 0 || !now.Add(n.Cold).After(s.coldUntil.Add(coldTolerance)))
 }
 
 // setLimit applies what a notice says of the target's limit.
@@ -149,6 +160,9 @@
 	}
 	state.leaving = state.leaving || n.Leaving
 	state.setLimit(now, n)
+	if until := now.Add(n.Cold); n.Cold > 0 && until.After(state.coldUntil) {
+		state.coldUntil = until
+	}
 	if until := now.Add(n.Pause); n.Pause > 0 && until.After(state.pauses[host]) {
 		state.pauses[host] = until
 	}
@@ -177,8 +191,8 @@
 	return nil
 }
 
-// Handover returns what a host reports to a new leader: all targets that are leaving
-// or have a limit, and the pauses that this host was asked for; the most recent ones if
+// Handover returns what a host reports to a new leader: all targets that are leaving,
+// cold or have a limit, and the pauses that this host was asked for; the most recent ones if
 // there are too many.
 func (s *Store) Handover(now time.Time, host netip.AddrPort) []Notice {
 	ids := slices.SortedFunc(maps.Keys(s.targets), func(x, y string) int {
@@ -187,7 +201,7 @@
 	var all []Notice
 	for _, id := range ids {
 		state := s.targets[id]
-		n := Notice{Target: id, Born: state.born, Leaving: state.leaving, Pause: state.PauseLeft(now, host), Limit: state.limit}
+		n := Notice{Target: id, Born: state.born, Leaving: state.leaving, Pause: state.PauseLeft(now, host), Limit: state.limit, Cold: max(state.coldUntil.Sub(now), 0)}
 		if !n.Empty() && len(all) < maxHandover {
 			all = append(all, n)
 		}
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -356,6 +356,30 @@
 	})
 }
 
+// Guards against a leader that alone knows what a cold target has told: the next one
+// granted it as many requests as it runs at once.
+func TestColdTimeOfATargetIsKnownToTheNextLeader(t *testing.T) {
+	_, hosts, kill := startHosts(t, 4)
+	for _, c := range hosts {
+		awaitLeader(t, c, hostAt(0))
+		c.FeedConfig(&routes.Config{Version: 2, Services: []routes.Service{{Name: "lm", Engine: true, Slots: 4, ColdPerSecond: 0.5}}})
+	}
+	hosts[3].ReportNotice(notice.Notice{Target: "t0", Cold: time.Minute})
+	_, d := submit(t, hosts[2], broker.Request{ExcludedTargets: []string{"t0"}}) // the leader has had the notice by now
+	assert.Equal(t, d.Target, "t1")
+	time.Sleep(tickPeriod)
+	kill(3)
+	kill(0)
+	awaitLeader(t, hosts[2], hostAt(1))
+	granted := map[string]int{}
+	for range 8 {
+		id, d := submit(t, hosts[2], broker.Request{})
+		granted[d.Target]++
+		hosts[2].ReportCompletion(broker.Completion{ID: id, Target: d.Target, Outcome: broker.Good, Took: time.Millisecond})
+	}
+	assert.Assert(t, granted["t0"] <= 1, "%v", granted)
+}
+
 // A partitioned host becomes its own leader and must still honor the notices that it has
 // received.
 func TestPartitionedHostHonorsNotices(t *testing.T) {
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -128,6 +128,9 @@
 	if n.Limit > 0 {
 		c.handler.Recorder.RecordNotice(NoticeLimit)
 	}
+	if c.handler.Dialect.VerifyOrigin(t.ID, response.Status, response.Header) == nil {
+		n.Cold = c.handler.Dialect.ColdRemaining(response.Header)
+	}
 	n.Unlimited = n.Limit == 0 && err == nil && c.endsLimit(t, response, sentAt)
 	if n.Empty() {
 		return
