--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -275,9 +275,9 @@
 	if strings.Contains(resp.Status, version) {
 		return true
 	}
-	for _, values := range resp.Header {
+	for name, values := range resp.Header {
 		for _, v := range values {
-			if strings.HasPrefix(v, version) {
+			if strings.HasPrefix(v, version) && name != "Via" { // in which it names a protocol
 				return true
 			}
 		}
