--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -474,3 +474,23 @@
 	_, d := submit(t, hosts[1], broker.Request{})
 	assert.Equal(t, d.Target, "t0", "the pause must not apply to another host")
 }
+
+// Hosts of a version without eras state none. Beside them revisions alone order changes, as
+// they did before.
+func TestPeerThatStatesNoEraIsInThePresentOne(t *testing.T) {
+	c := &Coordinator{roster: roster.New()}
+	c.roster.Replace(time.Now(), roster.Position{Era: 3, Revision: 10}, nil, nil, roster.ListingOptions{})
+	for _, p := range []struct {
+		era, revision uint64
+		want          roster.Position
+	}{
+		{0, 12, roster.Position{Era: 3, Revision: 12}},
+		{2, 12, roster.Position{Era: 2, Revision: 12}},
+		{0, 0, roster.Position{}}, // no list yet
+	} {
+		assert.Equal(t, c.peerPosition(p.era, p.revision), p.want)
+	}
+	changes := c.changes(time.Now(), PublishedState{Revision: 12, Targets: []Target{{Target: roster.Target{ID: "t", Revision: 11}}}, Gone: []roster.Removal{{ID: "u", Revision: 12}}})
+	assert.Equal(t, changes.Targets[0].Era, uint64(3))
+	assert.Equal(t, changes.Removed[0].Era, uint64(3))
+}
