The first list of an era names what its sender knows as gone

A host that had missed a removal in the former era was sent the whole list of the next one, from which the target is missing or withheld, and took it for one that has yet to publish its entry again: used for 2 s more, though the sender knew that it had left. Found by reading, for a test that failed once under load (3 requests of one host to a server that had left).

Now removals go with whole lists while an era settles, and are applied before the list.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -237,11 +237,11 @@
 	for z := range r.restored.zones {
 		c.ZonesLost = append(c.ZonesLost, z)
 	}
-	if c.Whole {
+	if c.Whole && c.Settled {
 		return c
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.tombstones)) {
-		if t := r.tombstones[id]; t.After(p) {
+		if t := r.tombstones[id]; c.Whole || t.After(p) {
 			c.Removed = append(c.Removed, Removal{id, t.Era, t.Revision})
 		}
 	}
@@ -251,6 +251,10 @@
 // Apply applies a peer's changes.
 func (r *Roster) Apply(now time.Time, c Changes) {
 	if c.Whole {
+		// The list of a new era does not tell removed entries from those that the store has lost.
+		for _, d := range c.Removed {
+			r.removeEntry(now, d.ID, Position{d.Era, d.Revision}, false)
+		}
 		r.Replace(now, c.Position, c.Targets, c.ZonesOut, ListingOptions{Settled: c.Settled})
 	} else {
 		for _, t := range c.Targets {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -197,3 +197,24 @@
 	assert.DeepEqual(t, usableIDs(peer), []string{})
 	assert.Equal(t, peer.Position(), between.Position())
 }
+
+// A host that missed a removal in the former era must learn of it with the first list of the
+// next one, not use the target as one that has yet to publish its entry again.
+func TestTargetThatAPeerKnowsAsGoneIsNotUsedInTheNextEra(t *testing.T) {
+	for _, inCopy := range []bool{true, false} {
+		sender, behind := New(), New()
+		for _, r := range []*Roster{sender, behind} {
+			r.Replace(now, Position{1, 5}, []Target{{ID: "x", Service: "s", Era: 1, Revision: 5, Born: 1}}, nil, ListingOptions{})
+		}
+		sender.Remove(now, "x", Position{1, 9}, false)
+		var restored []Target
+		if inCopy {
+			restored = append(restored, Target{ID: "x", Service: "s", Era: 2, Revision: 5, Born: 1})
+		}
+		sender.Replace(now, Position{2, 6}, restored, nil, ListingOptions{})
+		behind.Apply(now, sender.ChangesSince(now, behind.Position()))
+		assert.DeepEqual(t, usableIDs(behind), []string{})
+		behind.Settle(now.Add(RestoreGrace))
+		assert.Equal(t, len(usableIDs(behind)) > 0, inCopy, "an entry that still stands belongs to a live target")
+	}
+}
