--- a/io/soak/version.go
+++ b/io/soak/version.go
@@ -5,7 +5,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -32,8 +31,8 @@
 	time.Sleep(takeUpDelay)
 	h := r.hosts[len(q.id)*events%len(r.hosts)]
 	id := q.id + "-again"
-	stand.Send(ctx, h.node.Front, "POST", q.route.Prefix+"x", id, key, "body", clientTimeout, stand.Prompt(q.id, sharedParts...),
-		stand.Header{Name: "Resumes", Value: q.id}, stand.Header{Name: "Last-Event-Id", Value: strconv.Itoa(events)})
+	header := append(stand.Resumption(q.id, events), stand.Prompt(q.id, sharedParts...))
+	stand.Send(ctx, h.node.Front, "POST", q.route.Prefix+"x", id, key, "body", clientTimeout, header...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	q.takenUp = id
