--- a/io/coord/parts.go
+++ b/io/coord/parts.go
@@ -7,9 +7,9 @@
 	"yuccadoor/core/roster"
 )
 
-// maxListTime limits how long a target may take to list the parts of prompts that it
-// keeps.
-const maxListTime = 350 * time.Millisecond
+// listTimeout limits how long a target may take to list the parts of prompts that it
+// keeps. It is shorter than the time after which a listing counts as failed.
+const listTimeout = 350 * time.Millisecond
 
 // listParts asks the targets whose parts the broker needs to tell the versions of streams.
 func (c *Coordinator) listParts(now time.Time) {
@@ -23,7 +23,7 @@
 }
 
 func (c *Coordinator) listPartsOf(t *roster.Target) {
-	ctx, cancel := context.WithTimeout(context.Background(), maxListTime)
+	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	parts, err := c.settings.ListParts(ctx, t.Address)
 	c.post(func(now time.Time) {
