--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -76,6 +76,8 @@
 
 	grants   map[netip.AddrPort][]Grant
 	refusals map[netip.AddrPort][]Refusal
+	// work counts the requests and targets that decisions have looked at.
+	work uint64
 }
 
 // New returns an empty broker that enforces allowances within a tolerance. self
@@ -119,6 +121,7 @@
 // SetRoster replaces the list of published targets.
 func (b *Broker) SetRoster(now time.Time, s *roster.Snapshot) {
 	b.roster = s
+	b.work += uint64(len(s.Targets))
 	b.origins.SetTargets(now, s)
 	for id := range b.targets {
 		if s.Targets[id] == nil {
@@ -170,6 +173,7 @@
 // Cancel removes a waiting request and returns its tokens to the allowance.
 func (b *Broker) Cancel(host netip.AddrPort, id uint64) {
 	for service, queue := range b.queues {
+		b.work += uint64(len(queue))
 		if i := slices.IndexFunc(queue, func(q *queuedRequest) bool { return q.requestKey == requestKey{host, id} }); i >= 0 {
 			b.returnTokens(queue[i])
 			b.queues[service] = slices.Delete(queue, i, i+1)
@@ -268,6 +272,7 @@
 
 // RemoveHost drops all requests of a host that is gone.
 func (b *Broker) RemoveHost(now time.Time, host netip.AddrPort) {
+	b.work += uint64(len(b.runs))
 	for k, r := range b.runs {
 		if k.host != host {
 			continue
@@ -278,6 +283,7 @@
 		}
 	}
 	for service, queue := range b.queues {
+		b.work += uint64(len(queue))
 		b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool { return q.host == host })
 	}
 	delete(b.grants, host)
@@ -312,6 +318,10 @@
 	return grants, refusals
 }
 
+// Work returns how many requests and targets decisions have looked at so far: a measure
+// of their cost that depends on no clock.
+func (b *Broker) Work() uint64 { return b.work }
+
 // WaitingCount returns the number of waiting requests.
 func (b *Broker) WaitingCount() int {
 	n := 0
--- a/core/broker/notice.go
+++ b/core/broker/notice.go
@@ -62,6 +62,7 @@
 func (b *Broker) limitedFor(now time.Time, service string, host netip.AddrPort, excluded []string) time.Duration {
 	shortest, found := time.Duration(0), false
 	for _, p := range b.roster.ForService(service) {
+		b.work++
 		t := b.targets[p.ID]
 		if t == nil || t.notice.Leaving() || t.blockedFor(now, host) > 0 || slices.Contains(excluded, p.ID) {
 			continue
--- a/core/broker/order.go
+++ b/core/broker/order.go
@@ -23,6 +23,7 @@
 // longer be in time yield to the others, so that under overload the most value is
 // served in time; without overload all are.
 func (b *Broker) compare(now time.Time, x, y *queuedRequest) int {
+	b.work++
 	return cmp.Or(cmp.Compare(b.rank(now, x), b.rank(now, y)), cmp.Compare(y.valuePerCost, x.valuePerCost), x.startBy.Compare(y.startBy))
 }
 
--- a/core/broker/shed.go
+++ b/core/broker/shed.go
@@ -27,6 +27,7 @@
 	if len(queue) == 0 {
 		return
 	}
+	b.work += uint64(len(queue))
 	unitsPerSecond := b.throughput(now, service, meanCost(queue))
 	slices.SortStableFunc(queue, func(x, y *queuedRequest) int { return b.compare(now, x, y) })
 	unitsAhead := 0.0
@@ -83,6 +84,7 @@
 // cost of its requests.
 func (b *Broker) throughput(now time.Time, service string, requestCost float64) float64 {
 	sum := 0.0
+	b.work += uint64(len(b.roster.ForService(service)))
 	for _, p := range b.roster.ForService(service) {
 		if t := b.targets[p.ID]; t != nil && !t.notice.Leaving() && t.blockedForAll(now) == 0 {
 			units := float64(t.slots(b)) * float64(time.Second) / float64(t.unitTime())
@@ -112,6 +114,7 @@
 func (b *Broker) unavailableFor(now time.Time, service string, host netip.AddrPort, excluded []string) time.Duration {
 	shortest := notice.MaxPause + 1
 	for _, p := range b.roster.ForService(service) {
+		b.work++
 		t := b.targets[p.ID]
 		if t == nil || t.notice.Leaving() || slices.Contains(excluded, p.ID) {
 			continue
--- a/core/broker/stream.go
+++ b/core/broker/stream.go
@@ -59,6 +59,7 @@
 // cannot be known or has no target left.
 func (b *Broker) resolveAll(now time.Time, service string) {
 	queue := b.queues[service]
+	b.work += uint64(len(queue))
 	b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool {
 		switch {
 		case !b.resolve(now, q):
@@ -93,6 +94,7 @@
 		return excluded
 	}
 	all := slices.Clone(excluded)
+	b.work += uint64(len(b.roster.ForService(q.request.Service)))
 	for _, t := range b.roster.ForService(q.request.Service) {
 		if !q.allows(t) {
 			all = append(all, t.ID)
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -268,6 +268,7 @@
 // freeTargets returns the targets of a service that can be granted a request now.
 func (b *Broker) freeTargets(now time.Time, service string) []*target {
 	var free []*target
+	b.work += uint64(len(b.roster.ForService(service)))
 	for _, p := range b.roster.ForService(service) {
 		if t := b.targets[p.ID]; t != nil && t.hasCapacity(now, b) {
 			free = append(free, t)
@@ -280,6 +281,7 @@
 func (b *Broker) pickTarget(now time.Time, q *queuedRequest, free []*target, allowed func(time.Time, *queuedRequest, *target) bool) *target {
 	var best *target
 	lowest := math.Inf(1)
+	b.work += uint64(len(free))
 	for _, t := range free {
 		if !q.allows(t.published) || slices.Contains(q.request.ExcludedTargets, t.published.ID) || !t.hasCapacity(now, b) || t.blockedFor(now, q.host) > 0 || !allowed(now, q, t) || !b.keepsEventGaps(now, q, t) {
 			continue
@@ -354,6 +356,7 @@
 // targets.
 func (b *Broker) fastestTokenTimeOf(service string) time.Duration {
 	var fastest time.Duration
+	b.work += uint64(len(b.roster.ForService(service)))
 	for _, p := range b.roster.ForService(service) {
 		if t := b.targets[p.ID]; t != nil && t.tokenTime > 0 && (fastest == 0 || t.tokenTime < fastest) {
 			fastest = t.tokenTime
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -36,9 +36,11 @@
 	// fetchTimeout is how long a fetch may stay unanswered before another peer is
 	// asked.
 	fetchTimeout = 400 * time.Millisecond
-	// backlogThreshold is the number of waiting events from which the event loop counts
-	// as late; the log tells of it at most once per backlogLogInterval.
+	// backlogThreshold is the number of waiting events, and lateEvent the age of a message
+	// at its turn, from which decisions count as late; the log tells of it at most once
+	// per backlogLogInterval.
 	backlogThreshold   = eventQueueSize / 8
+	lateEvent          = 100 * time.Millisecond
 	backlogLogInterval = time.Second
 	// pauseThreshold is the gap between two iterations of the event loop from which
 	// the process counts as having been paused.
@@ -138,7 +140,7 @@
 	// configBehindSince is when a peer first announced a newer configuration; zero if
 	// none has.
 	configBehindSince time.Time
-	backlogLoggedAt   time.Time
+	load              loadWindow
 	encoded           []byte                  // the encoded configuration; nil until needed
 	clientHosts       map[netip.AddrPort]bool // hosts whose requests this host's broker holds
 	reading           bool                    // this host reads the store itself
@@ -215,7 +217,7 @@
 }
 
 func (c *Coordinator) tick(now time.Time) {
-	c.logBacklog(now)
+	c.logLoad(now)
 	if c.mesh == nil {
 		return
 	}
@@ -230,14 +232,6 @@
 	c.listParts(now)
 }
 
-// logBacklog logs that events wait longer than decisions should.
-func (c *Coordinator) logBacklog(now time.Time) {
-	if n := c.events.Len(); n >= backlogThreshold && now.Sub(c.backlogLoggedAt) >= backlogLogInterval {
-		c.backlogLoggedAt = now
-		c.settings.Log.Event("warn", "decisions are late", "Waiting", n, "Leads", c.leader == c.self())
-	}
-}
-
 // WaitingEvents returns the number of events that wait for the event loop.
 func (c *Coordinator) WaitingEvents() int { return c.events.Len() }
 
@@ -334,7 +328,11 @@
 		c.settings.Log.Event("warn", "cannot decode message from host", "From", from, "Method", method, "Error", err)
 		return
 	}
-	c.post(e)
+	received := c.settings.Now()
+	c.post(func(now time.Time) {
+		c.load.add(method, now.Sub(received))
+		e(now)
+	})
 }
 
 // MessagesLost implements mesh.Handler. It does not wait for room in the event queue, since
