A leader that has fallen behind catches up

What callers saw: on a large fleet nothing was served in time after a storm, until all hosts had been restarted.

Cause: each ask, end and cancellation was matched alone: the queue was sorted and gone through with all free targets, a cancellation searched all queues, and each end looked for the fastest target among all. So the work for a message grew with the requests that wait and with the targets; while decisions were late, places stayed taken for longer, more waited, and decisions became later still. Nothing bounded the number of messages either.

Change: all that a batch of messages changes is matched at once. A leader tells how long messages wait for their turn.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -36,6 +36,9 @@
 	expiresAt    time.Time // when the request is given up
 	cost         float64   // in output tokens
 	valuePerCost float64
+	rank         float64 // as of when it was last looked at; valid if ranked
+	ranked       bool
+	cancelled    bool // dropped when the queue is next looked through
 }
 
 // run is a granted request that has not ended.
@@ -54,7 +57,9 @@
 	roster *roster.Snapshot
 	config *routes.Config
 	queues map[string][]*queuedRequest // by service, in order of arrival
-	runs   map[requestKey]*run
+	// waiting holds the requests in the queues that are not cancelled.
+	waiting map[requestKey]*queuedRequest
+	runs    map[requestKey]*run
 	// runsByPart is the number of runs with a shared part of the prompt.
 	runsByPart map[model.PromptPart]int
 	targets    map[string]*target
@@ -76,6 +81,10 @@
 
 	grants   map[netip.AddrPort][]Grant
 	refusals map[netip.AddrPort][]Refusal
+	// unmatched holds the services whose queues or targets have changed since the last
+	// call of match.
+	unmatched map[string]bool
+	shedAt    map[string]time.Time // when the queue of a service was last looked through
 	// work counts the requests and targets that decisions have looked at.
 	work uint64
 }
@@ -85,10 +94,10 @@
 func New(t quota.Tolerance, self uint64) *Broker {
 	return &Broker{
 		roster: roster.New().Snapshot(), config: (&routes.Config{}).Index(),
-		queues: map[string][]*queuedRequest{}, runs: map[requestKey]*run{}, runsByPart: map[model.PromptPart]int{},
+		queues: map[string][]*queuedRequest{}, waiting: map[requestKey]*queuedRequest{}, runs: map[requestKey]*run{}, runsByPart: map[model.PromptPart]int{},
 		targets:   map[string]*target{},
 		latencies: map[string]*latencyEstimate{}, meanSizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(self, crashThreshold), parts: parts.NewRecords(self), reachableShare: 1,
-		notices: notice.NewStore(), origins: origin.New(),
+		notices: notice.NewStore(), origins: origin.New(), unmatched: map[string]bool{}, shedAt: map[string]time.Time{},
 		grants: map[netip.AddrPort][]Grant{}, refusals: map[netip.AddrPort][]Refusal{},
 	}
 }
@@ -137,8 +146,11 @@
 		t.published = published
 		b.setNotice(now, t)
 	}
+	for service, e := range b.latencies {
+		b.findFastest(e, service)
+	}
 	b.settleBrokenRuns(now)
-	b.matchAll(now)
+	b.markAllUnmatched()
 }
 
 // Submit queues a request, or refuses it at once if its content crashes targets
@@ -163,22 +175,21 @@
 			return
 		}
 	}
-	b.queues[r.Service] = append(b.queues[r.Service], q)
-	if q.unresolved || q.pinned {
-		b.resolveAll(now, r.Service)
+	if !b.checkVersion(now, q) {
+		return
 	}
-	b.match(now, r.Service)
+	b.queues[r.Service] = append(b.queues[r.Service], q)
+	b.waiting[k] = q
+	b.unmatched[r.Service] = true
 }
 
 // Cancel removes a waiting request and returns its tokens to the allowance.
 func (b *Broker) Cancel(host netip.AddrPort, id uint64) {
-	for service, queue := range b.queues {
-		b.work += uint64(len(queue))
-		if i := slices.IndexFunc(queue, func(q *queuedRequest) bool { return q.requestKey == requestKey{host, id} }); i >= 0 {
-			b.returnTokens(queue[i])
-			b.queues[service] = slices.Delete(queue, i, i+1)
-			return
-		}
+	k := requestKey{host, id}
+	if q := b.waiting[k]; q != nil {
+		b.returnTokens(q)
+		q.cancelled = true
+		delete(b.waiting, k)
 	}
 }
 
@@ -203,7 +214,7 @@
 		if t := b.targets[r.target]; t != nil {
 			t.running--
 		}
-		b.matchAll(now)
+		b.markAllUnmatched()
 		return
 	}
 	t := b.targets[r.target]
@@ -231,13 +242,13 @@
 		b.learnEventGap(t, c)
 	}
 	if t.published != nil {
-		b.match(now, t.published.Service)
+		b.unmatched[t.published.Service] = true
 	}
 }
 
 // Sync replaces the broker's state of a host's requests.
 func (b *Broker) Sync(now time.Time, host netip.AddrPort, running []RunningRequest, requests []Request) {
-	b.RemoveHost(now, host)
+	b.RemoveHost(host)
 	for _, r := range running {
 		b.addRun(requestKey{host, r.ID}, &run{target: r.Target, parts: r.SharedParts})
 		if t := b.targets[r.Target]; t != nil {
@@ -271,7 +282,7 @@
 }
 
 // RemoveHost drops all requests of a host that is gone.
-func (b *Broker) RemoveHost(now time.Time, host netip.AddrPort) {
+func (b *Broker) RemoveHost(host netip.AddrPort) {
 	b.work += uint64(len(b.runs))
 	for k, r := range b.runs {
 		if k.host != host {
@@ -284,11 +295,16 @@
 	}
 	for service, queue := range b.queues {
 		b.work += uint64(len(queue))
-		b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool { return q.host == host })
+		b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool {
+			if q.host == host {
+				delete(b.waiting, q.requestKey)
+			}
+			return q.host == host
+		})
 	}
 	delete(b.grants, host)
 	delete(b.refusals, host)
-	b.matchAll(now)
+	b.markAllUnmatched()
 }
 
 // Tick does the work that depends on time: it settles broken runs, refuses
@@ -301,13 +317,22 @@
 	}
 	for service := range b.queues {
 		b.resolveAll(now, service)
-		b.shed(now, service)
-		b.match(now, service)
+		if now.Sub(b.shedAt[service]) >= time.Duration(len(b.queues[service]))*shedSpacing {
+			b.shedAt[service] = now
+			b.shed(now, service)
+		}
 	}
+	b.markAllUnmatched()
 }
 
-// TakeDecisions returns the grants and refusals since the last call, by host.
-func (b *Broker) TakeDecisions() (grants map[netip.AddrPort][]Grant, refusals map[netip.AddrPort][]Refusal) {
+// TakeDecisions grants free targets and returns the grants and refusals since the last
+// call, by host. All changes between two calls are matched at once, so that a leader that
+// has fallen behind spends less on each.
+func (b *Broker) TakeDecisions(now time.Time) (grants map[netip.AddrPort][]Grant, refusals map[netip.AddrPort][]Refusal) {
+	for service := range b.unmatched {
+		b.match(now, service)
+	}
+	clear(b.unmatched)
 	grants, refusals = b.grants, b.refusals
 	if len(grants) > 0 {
 		b.grants = map[netip.AddrPort][]Grant{}
@@ -323,19 +348,16 @@
 func (b *Broker) Work() uint64 { return b.work }
 
 // WaitingCount returns the number of waiting requests.
-func (b *Broker) WaitingCount() int {
-	n := 0
-	for _, queue := range b.queues {
-		n += len(queue)
-	}
-	return n
-}
+func (b *Broker) WaitingCount() int { return len(b.waiting) }
 
-func (b *Broker) refuse(k requestKey, r Refusal) { b.refusals[k.host] = append(b.refusals[k.host], r) }
+func (b *Broker) refuse(k requestKey, r Refusal) {
+	delete(b.waiting, k)
+	b.refusals[k.host] = append(b.refusals[k.host], r)
+}
 
-func (b *Broker) matchAll(now time.Time) {
+func (b *Broker) markAllUnmatched() {
 	for service := range b.queues {
-		b.match(now, service)
+		b.unmatched[service] = true
 	}
 }
 
@@ -349,7 +371,7 @@
 	if len(free) == 0 {
 		return
 	}
-	slices.SortStableFunc(queue, func(x, y *queuedRequest) int { return b.compare(now, x, y) })
+	queue = b.order(now, queue)
 	// The first pass uses only targets at which a request starts in time, so that
 	// slow targets are left to the requests they are fast enough for. The second
 	// pass assigns the rest.
@@ -362,10 +384,26 @@
 // pair. It returns the requests and targets that are left.
 func (b *Broker) assign(now time.Time, queue []*queuedRequest, free []*target, allowed func(time.Time, *queuedRequest, *target) bool) ([]*queuedRequest, []*target) {
 	kept := queue[:0]
-	for _, q := range queue {
+	fruitless := map[searchKey]int{}
+	for i, q := range queue {
+		if len(free) == 0 {
+			kept = append(kept, queue[i:]...)
+			break
+		}
+		if q.cancelled {
+			continue
+		}
+		kind, ordinary := q.searchKey(), !q.hasOwnTargets()
+		if ordinary && fruitless[kind] >= maxFruitless {
+			kept = append(kept, q)
+			continue
+		}
 		var t *target
-		if b.mayRun(now, q.request) {
-			t = b.pickTarget(now, q, free, allowed)
+		if now.Before(q.expiresAt) && b.mayRun(now, q.request) {
+			blocked := false
+			if t, blocked = b.pickTarget(now, q, free, allowed); t == nil && ordinary && !blocked {
+				fruitless[kind]++
+			}
 		}
 		if t == nil {
 			kept = append(kept, q)
@@ -393,6 +431,7 @@
 	backlog := t.prefillBacklog(now)
 	t.recordGrant(now, b, q)
 	t.running++
+	delete(b.waiting, q.requestKey)
 	b.addRun(q.requestKey, &run{target: t.published.ID, queued: q, parts: q.request.SharedParts, backlog: backlog})
 	b.origins.Record(now, q.request.Stream, t.published.Version)
 	b.grants[q.host] = append(b.grants[q.host], Grant{ID: q.request.ID, Target: t.published.ID})
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -74,7 +74,7 @@
 }
 
 func (s *simulation) collect() {
-	grants, refusals := s.b.TakeDecisions()
+	grants, refusals := s.b.TakeDecisions(s.now)
 	for h, g := range grants {
 		s.grants[h] = append(s.grants[h], g...)
 	}
@@ -366,7 +366,7 @@
 	s.b.Complete(s.now, hostA, Completion{ID: 900, Target: "t0", Outcome: Good})
 	s.collect()
 	assert.Equal(t, s.granted(hostA, 902), "t0")
-	s.b.RemoveHost(s.now, hostA)
+	s.b.RemoveHost(hostA)
 	assert.Equal(t, s.granted(hostB, s.submit(hostB, Request{})), "t0")
 }
 
@@ -733,7 +733,7 @@
 	s.submit(hostB, Request{})
 	waiting := s.submit(hostB, Request{}) // gets the slot freed when host A's state is dropped
 	s.grants = map[netip.AddrPort][]Grant{}
-	s.b.RemoveHost(s.now, hostA)
+	s.b.RemoveHost(hostA)
 	s.collect()
 	assert.Equal(t, s.granted(hostB, waiting), taken)
 	s.complete(hostB, waiting, Good, time.Second)
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -189,7 +189,7 @@
 	for service, queue := range b.queues {
 		b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool {
 			refusal, refused := b.crashRefusal(now, q.request)
-			if refused {
+			if refused && !q.cancelled {
 				b.returnTokens(q)
 				b.refuse(q.requestKey, refusal)
 			}
--- a/core/broker/message.go
+++ b/core/broker/message.go
@@ -39,6 +39,10 @@
 	Version string `cbor:"21,keyasint,omitempty"`
 }
 
+// InProgress reports whether the request has been sent to a target before, or continues a
+// stream of which its caller has a part.
+func (r *Request) InProgress() bool { return r.Resubmitted || r.Pinned || len(r.ExcludedTargets) > 0 }
+
 // Grant allows a host to send one request to one target.
 type Grant struct {
 	ID     uint64 `cbor:"1,keyasint,omitempty"`
--- a/core/broker/order.go
+++ b/core/broker/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"yuccadoor/core/model"
@@ -18,24 +19,72 @@
 	classesPerTier = 8
 )
 
-// compare compares requests by tier, then by class, with late requests ranked one
-// and a half classes lower, then by value per unit of cost. Requests that can no
-// longer be in time yield to the others, so that under overload the most value is
-// served in time; without overload all are.
-func (b *Broker) compare(now time.Time, x, y *queuedRequest) int {
-	b.work++
-	return cmp.Or(cmp.Compare(b.rank(now, x), b.rank(now, y)), cmp.Compare(y.valuePerCost, x.valuePerCost), x.startBy.Compare(y.startBy))
+// smallQueue is the length up to which a queue is sorted anew for each matching.
+const smallQueue = 256
+
+// order drops cancelled requests and sorts a queue by rank. In a long queue only new
+// requests are ranked: the others were when the queue was last looked through.
+func (b *Broker) order(now time.Time, queue []*queuedRequest) []*queuedRequest {
+	ranked := len(queue)
+	if len(queue) <= smallQueue {
+		ranked = 0
+	}
+	for ranked > 0 && !queue[ranked-1].ranked {
+		ranked--
+	}
+	added := slices.DeleteFunc(slices.Clone(queue[ranked:]), func(q *queuedRequest) bool { return q.cancelled })
+	b.sort(now, added)
+	return merge(queue, ranked, added)
+}
+
+// merge merges sorted requests into the sorted beginning of a queue, in its place.
+func merge(queue []*queuedRequest, sorted int, added []*queuedRequest) []*queuedRequest {
+	end := sorted + len(added)
+	for i, j, k := sorted-1, len(added)-1, end-1; j >= 0; k-- {
+		if i >= 0 && compare(queue[i], added[j]) > 0 {
+			queue[k] = queue[i]
+			i--
+		} else {
+			queue[k] = added[j]
+			j--
+		}
+	}
+	clear(queue[end:])
+	return queue[:end]
+}
+
+// sort ranks and sorts requests.
+func (b *Broker) sort(now time.Time, queue []*queuedRequest) {
+	for _, q := range queue {
+		q.rank, q.ranked = b.rank(now, q), true
+	}
+	b.work += uint64(len(queue))
+	slices.SortStableFunc(queue, func(x, y *queuedRequest) int {
+		b.work++
+		return compare(x, y)
+	})
+}
+
+// compare compares requests by tier, then by class, with late requests ranked one and a
+// half classes lower, then by value per unit of cost. Requests that can no longer be in
+// time yield to the others, so that under overload the most value is served in time;
+// without overload all are.
+func compare(x, y *queuedRequest) int {
+	return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(y.valuePerCost, x.valuePerCost), x.startBy.Compare(y.startBy))
 }
 
 // rank is lower for more urgent requests.
 func (b *Broker) rank(now time.Time, q *queuedRequest) float64 {
-	rank := classesPerTier*float64(q.request.Tier) + float64(q.request.Class)
+	rank := priority(q.request.Tier, q.request.Class)
 	if now.Add(b.startLatency(q)).After(q.startBy) {
 		rank += lateClassPenalty
 	}
 	return rank
 }
 
+// priority is the rank of requests that are not late.
+func priority(tier, class model.Tier) float64 { return classesPerTier*float64(tier) + float64(class) }
+
 // startLatency is the estimated time from the grant to the first part of the
 // answer, at the fastest target.
 func (b *Broker) startLatency(q *queuedRequest) time.Duration {
--- a/core/broker/shed.go
+++ b/core/broker/shed.go
@@ -17,19 +17,23 @@
 	// wait may take before it is refused: the caller then still has time for
 	// another try.
 	maxWaitShare = 0.7
+	// shedSpacing is the time between two looks through a queue for each request in it,
+	// which bounds their cost.
+	shedSpacing = 20 * time.Microsecond
 )
 
 // shed refuses the waiting requests that would not be granted a target in time,
 // as soon as that is clear: the work ahead of them takes the service longer than
 // they can wait.
 func (b *Broker) shed(now time.Time, service string) {
-	queue := b.queues[service]
+	queue := slices.DeleteFunc(b.queues[service], func(q *queuedRequest) bool { return q.cancelled })
 	if len(queue) == 0 {
+		b.queues[service] = queue
 		return
 	}
 	b.work += uint64(len(queue))
 	unitsPerSecond := b.throughput(now, service, meanCost(queue))
-	slices.SortStableFunc(queue, func(x, y *queuedRequest) int { return b.compare(now, x, y) })
+	b.sort(now, queue)
 	unitsAhead := 0.0
 	kept := queue[:0]
 	for _, q := range queue {
--- a/core/broker/stream.go
+++ b/core/broker/stream.go
@@ -60,17 +60,21 @@
 func (b *Broker) resolveAll(now time.Time, service string) {
 	queue := b.queues[service]
 	b.work += uint64(len(queue))
-	b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool {
-		switch {
-		case !b.resolve(now, q):
-			b.refuseVersion(q, "VersionUnknown")
-		case q.pinned && !b.hasVersion(q):
-			b.refuseVersion(q, "VersionGone")
-		default:
-			return false
-		}
+	b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool { return q.cancelled || !b.checkVersion(now, q) })
+}
+
+// checkVersion determines the version of a request. It returns false if it has refused the
+// request.
+func (b *Broker) checkVersion(now time.Time, q *queuedRequest) bool {
+	switch {
+	case !b.resolve(now, q):
+		b.refuseVersion(q, "VersionUnknown")
+	case q.pinned && !b.hasVersion(q):
+		b.refuseVersion(q, "VersionGone")
+	default:
 		return true
-	})
+	}
+	return false
 }
 
 // refuseVersion refuses a request whose stream cannot go on now. Another server of its
@@ -114,7 +118,7 @@
 	var targets []*roster.Target
 	for service, queue := range b.queues {
 		for _, q := range queue {
-			if q.unresolved {
+			if q.unresolved && !q.cancelled {
 				targets = append(targets, b.origins.TargetsToList(now, service, q.queuedAt)...)
 			}
 		}
@@ -127,6 +131,6 @@
 	b.origins.RecordParts(target, parts)
 	if t := b.roster.Targets[target]; t != nil {
 		b.resolveAll(now, t.Service)
-		b.match(now, t.Service)
+		b.unmatched[t.Service] = true
 	}
 }
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -1,9 +1,7 @@
 package broker
 
 import (
-	"math"
 	"net/netip"
-	"slices"
 	"time"
 
 	"yuccadoor/core/notice"
@@ -265,34 +263,6 @@
 	return initialTokenTime
 }
 
-// freeTargets returns the targets of a service that can be granted a request now.
-func (b *Broker) freeTargets(now time.Time, service string) []*target {
-	var free []*target
-	b.work += uint64(len(b.roster.ForService(service)))
-	for _, p := range b.roster.ForService(service) {
-		if t := b.targets[p.ID]; t != nil && t.hasCapacity(now, b) {
-			free = append(free, t)
-		}
-	}
-	return free
-}
-
-// pickTarget returns the allowed target with the lowest score, or nil.
-func (b *Broker) pickTarget(now time.Time, q *queuedRequest, free []*target, allowed func(time.Time, *queuedRequest, *target) bool) *target {
-	var best *target
-	lowest := math.Inf(1)
-	b.work += uint64(len(free))
-	for _, t := range free {
-		if !q.allows(t.published) || slices.Contains(q.request.ExcludedTargets, t.published.ID) || !t.hasCapacity(now, b) || t.blockedFor(now, q.host) > 0 || !allowed(now, q, t) || !b.keepsEventGaps(now, q, t) {
-			continue
-		}
-		if s := b.score(now, q, t); s < lowest {
-			best, lowest = t, s
-		}
-	}
-	return best
-}
-
 // score estimates how long a target takes for a request, in seconds: the time to
 // read the prompts before it, then the work itself, slowed by concurrent
 // requests. Failures and another availability zone raise it.
@@ -312,6 +282,7 @@
 	base             time.Duration
 	perPromptToken   time.Duration
 	byPromptTokens   linearFit     // time to the first part, in seconds, by prompt tokens
+	fastest          *target       // of those that may be given work; nil for none
 	fastestTokenTime time.Duration // per output token, of the fastest target
 	eventGap         time.Duration // longest gap between two events of a stream
 }
@@ -340,7 +311,7 @@
 		e.byPromptTokens.add(priorPromptTokens, (priorPromptTokens * initialPromptTokenTime).Seconds(), priorSamples)
 		b.latencies[service] = e
 	}
-	e.fastestTokenTime = b.fastestTokenTimeOf(service)
+	b.updateFastest(e, t)
 	took = time.Duration(float64(took) / b.slowness(t))
 	e.byPromptTokens.add(float64(prompt), took.Seconds(), 1)
 	e.perPromptToken = time.Duration(e.byPromptTokens.slope() * float64(time.Second))
@@ -352,15 +323,24 @@
 	e.base = max(e.base+time.Duration(weight*float64(excess)), 0)
 }
 
-// fastestTokenTimeOf is the shortest time per unit of work among a service's
-// targets.
-func (b *Broker) fastestTokenTimeOf(service string) time.Duration {
-	var fastest time.Duration
-	b.work += uint64(len(b.roster.ForService(service)))
-	for _, p := range b.roster.ForService(service) {
-		if t := b.targets[p.ID]; t != nil && t.tokenTime > 0 && (fastest == 0 || t.tokenTime < fastest) {
-			fastest = t.tokenTime
+// updateFastest updates the fastest target of a service after an answer of one.
+func (b *Broker) updateFastest(e *latencyEstimate, t *target) {
+	switch {
+	case t.tokenTime > 0 && (e.fastestTokenTime == 0 || t.tokenTime < e.fastestTokenTime):
+		e.fastest, e.fastestTokenTime = t, t.tokenTime
+	case t == e.fastest:
+		b.findFastest(e, t.published.Service)
+	}
+}
+
+// findFastest determines the fastest target of a service and its time per unit of work.
+func (b *Broker) findFastest(e *latencyEstimate, service string) {
+	e.fastest, e.fastestTokenTime = nil, 0
+	published := b.roster.ForService(service)
+	b.work += uint64(len(published))
+	for _, p := range published {
+		if t := b.targets[p.ID]; t != nil && t.tokenTime > 0 && (e.fastest == nil || t.tokenTime < e.fastestTokenTime) {
+			e.fastest, e.fastestTokenTime = t, t.tokenTime
 		}
 	}
-	return fastest
 }
--- a/core/replay/policy.go
+++ b/core/replay/policy.go
@@ -29,7 +29,7 @@
 	cancel(q *request)
 	tick(now time.Time)
 	restartedCold(now time.Time, target string, until time.Time)
-	takeDecisions() []decision
+	takeDecisions(now time.Time) []decision
 }
 
 // Policies returns the names of all policies.
@@ -127,8 +127,8 @@
 func (b *brokerBacked) cancel(q *request)  { b.broker.Cancel(entryHost, q.attempt) }
 func (b *brokerBacked) tick(now time.Time) { b.broker.Tick(now) }
 
-func (b *brokerBacked) takeDecisions() []decision {
-	grants, refusals := b.broker.TakeDecisions()
+func (b *brokerBacked) takeDecisions(now time.Time) []decision {
+	grants, refusals := b.broker.TakeDecisions(now)
 	var all []decision
 	for _, g := range grants[entryHost] {
 		all = append(all, decision{attempt: g.ID, target: g.Target})
@@ -180,7 +180,7 @@
 func (h *independentHosts) tick(time.Time)                                 {}
 func (h *independentHosts) restartedCold(time.Time, string, time.Time)     {}
 
-func (h *independentHosts) takeDecisions() []decision {
+func (h *independentHosts) takeDecisions(time.Time) []decision {
 	out := h.decisions
 	h.decisions = nil
 	return out
--- a/core/replay/replay.go
+++ b/core/replay/replay.go
@@ -240,7 +240,7 @@
 
 // applyDecisions carries out the policy's pending decisions.
 func (p *player) applyDecisions() {
-	for _, d := range p.policy.takeDecisions() {
+	for _, d := range p.policy.takeDecisions(p.now) {
 		q := p.byAttempt[d.attempt]
 		if q == nil || q.closed {
 			continue
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -141,6 +141,9 @@
 	// none has.
 	configBehindSince time.Time
 	load              loadWindow
+	pace              broker.Pace             // of messages to the leader
+	lag               time.Duration           // age of the oldest message of the last batch
+	batchBegins       bool                    // no message of the present batch was handled yet
 	encoded           []byte                  // the encoded configuration; nil until needed
 	clientHosts       map[netip.AddrPort]bool // hosts whose requests this host's broker holds
 	reading           bool                    // this host reads the store itself
@@ -202,6 +205,7 @@
 // keeps running during a suspension. State from before the pause may be stale, so
 // the leader is determined again and this host resyncs with it.
 func (c *Coordinator) detectPause(now time.Time) {
+	c.batchBegins = true
 	bootTime := c.settings.BootTime()
 	gap := max(bootTime-c.lastBootTime, now.Sub(c.lastRunAt))
 	c.lastRunAt, c.lastBootTime = now, bootTime
@@ -256,7 +260,7 @@
 	}
 	for range 4 {
 		sent := c.flushRequests(now)
-		if !c.flushDecisions() && !sent {
+		if !c.flushDecisions(now) && !sent {
 			break
 		}
 	}
@@ -330,7 +334,7 @@
 	}
 	received := c.settings.Now()
 	c.post(func(now time.Time) {
-		c.load.add(method, now.Sub(received))
+		c.recordAge(method, c.settings.Now().Sub(received))
 		e(now)
 	})
 }
--- a/io/coord/facts.go
+++ b/io/coord/facts.go
@@ -42,6 +42,8 @@
 	// Readers are the hosts that read the store, as assigned by the sender if it leads.
 	Readers []netip.AddrPort `cbor:"4,keyasint,omitempty"`
 	Era     uint64           `cbor:"5,keyasint,omitempty"` // of Revision
+	// Lag is how long messages to the sender waited for their turn.
+	Lag time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // FetchRequest asks for published state newer than the given version and position.
@@ -74,6 +76,7 @@
 
 // decode decodes a message and returns the event that handles it.
 func (c *Coordinator) decode(from netip.AddrPort, method string, params json.RawMessage) (event, error) {
+	received := c.settings.Now()
 	switch method {
 	case methodBeat:
 		return decodePacked(params, func(now time.Time, m HeartbeatMessage) { c.handleHeartbeat(now, from, m) })
@@ -82,11 +85,11 @@
 	case methodFacts:
 		return decodeJSON(params, func(now time.Time, s PublishedState) { c.applyPublishedState(now, from, s) })
 	case methodAsks:
-		return decodePacked(params, func(now time.Time, u RequestUpdates) { c.handleRequests(now, from, u) })
+		return decodePacked(params, func(now time.Time, u RequestUpdates) { c.handleRequests(now, from, u, now.Sub(received)) })
 	case methodSync:
-		return decodePacked(params, func(now time.Time, s HostState) { c.handleState(now, from, s) })
+		return decodePacked(params, func(now time.Time, s HostState) { c.handleState(now, from, s, now.Sub(received)) })
 	case methodVerdicts:
-		return decodePacked(params, func(_ time.Time, d Decisions) { c.handleDecisions(from, d) })
+		return decodePacked(params, func(now time.Time, d Decisions) { c.handleDecisions(now, from, d) })
 	case methodCrashes:
 		return decodePacked(params, func(now time.Time, m CrashRecords) { c.handleCrashes(now, m) })
 	case methodNotices:
@@ -148,7 +151,7 @@
 	at := c.rosterPosition()
 	return HeartbeatMessage{
 		Heartbeats: []hosts.Heartbeat{c.hosts.NextHeartbeat(now)}, Version: c.configVersion(), Era: at.Era, Revision: at.Revision,
-		Readers: c.hosts.AssignedReaders(),
+		Readers: c.hosts.AssignedReaders(), Lag: c.lag,
 	}
 }
 
@@ -175,6 +178,7 @@
 	if changed {
 		c.updateLeader(now)
 	}
+	c.setLeaderLag(now, from, m.Lag)
 	if m.Version > c.configVersion() && c.configBehindSince.IsZero() {
 		c.configBehindSince = now
 	}
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -44,6 +44,8 @@
 type Decisions struct {
 	Grants   []broker.Grant   `cbor:"1,keyasint,omitempty"`
 	Refusals []broker.Refusal `cbor:"2,keyasint,omitempty"`
+	// Lag is how long messages to the leader waited for their turn.
+	Lag time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // CrashRecords carries a host's records of request contents that crash targets.
@@ -91,7 +93,7 @@
 	for h := range c.clientHosts {
 		if !c.hosts.IsAlive(now, h) && h != c.self() {
 			delete(c.clientHosts, h)
-			c.broker.RemoveHost(now, h)
+			c.broker.RemoveHost(h)
 		}
 	}
 	leader, ok := c.hosts.Leader(now)
@@ -101,6 +103,7 @@
 	if leader != c.leader {
 		c.settings.Log.Event("info", "leader changed", "Leader", leader, "Former", c.leader, "Alive", alive, "Known", known)
 		c.leader, c.synced = leader, false
+		c.pace.SetLag(now, 0) // another process, with a queue of its own
 		c.publish()
 	}
 }
@@ -117,6 +120,9 @@
 		c.sendState(now)
 		return true
 	}
+	if len(c.unsent) == 0 && c.outgoing.empty() || !c.pace.Take(now) {
+		return false
+	}
 	for _, id := range c.unsent {
 		if p := c.pending[id]; p != nil && !p.sent {
 			p.sent = true
@@ -130,7 +136,7 @@
 	updates := c.outgoing
 	c.outgoing = RequestUpdates{}
 	if c.leader == c.self() {
-		c.handleRequests(now, c.self(), updates)
+		c.handleRequests(now, c.self(), updates, 0)
 	} else {
 		c.mesh.Send(c.leader, methodAsks, pack.Of(updates))
 	}
@@ -168,15 +174,16 @@
 		p.sent = true
 	}
 	if c.leader == c.self() {
-		c.handleState(now, c.self(), s)
+		c.handleState(now, c.self(), s, 0)
 	} else {
 		c.mesh.Send(c.leader, methodSync, pack.Of(s))
 	}
 	c.sendAllCrashes(now, c.leader)
 }
 
-// handleState replaces what the broker knows of a host by its complete state.
-func (c *Coordinator) handleState(now time.Time, host netip.AddrPort, s HostState) {
+// handleState replaces what the broker knows of a host by its complete state, in a message
+// of an age.
+func (c *Coordinator) handleState(now time.Time, host netip.AddrPort, s HostState, age time.Duration) {
 	c.clientHosts[host] = true
 	c.broker.Charge(now, s.QuotaUsage)
 	c.applyNotices(now, host, s.Notices)
@@ -200,9 +207,21 @@
 	c.broker.MergePartRecords(now, m.Parts)
 }
 
-// handleRequests applies a host's updates to the broker. If the broker does not have
-// the host's state, only the notices are applied and the host is asked to resync.
-func (c *Coordinator) handleRequests(now time.Time, host netip.AddrPort, u RequestUpdates) {
+// aged returns requests with their time limits reduced by the age of their message, which is
+// negative if it came after the event loop last read the time: callers
+// wait on while it waits for its turn.
+func aged(requests []broker.Request, age time.Duration) []broker.Request {
+	for i := range requests {
+		requests[i].StartWithin -= age
+		requests[i].ExpiresIn -= age
+	}
+	return requests
+}
+
+// handleRequests applies a host's updates, in a message of an age, to the broker. If the
+// broker does not have the host's state, only the notices are applied and the host is asked
+// to resync.
+func (c *Coordinator) handleRequests(now time.Time, host netip.AddrPort, u RequestUpdates, age time.Duration) {
 	c.applyNotices(now, host, u.Notices) // before the completions, which free slots at those targets
 	if !c.clientHosts[host] {
 		c.mesh.Send(host, methodResync, struct{}{})
@@ -221,8 +240,8 @@
 
 // flushDecisions sends the broker's decisions to the hosts that they concern. It
 // reports whether there were any.
-func (c *Coordinator) flushDecisions() bool {
-	grants, refusals := c.broker.TakeDecisions()
+func (c *Coordinator) flushDecisions(now time.Time) bool {
+	grants, refusals := c.broker.TakeDecisions(now)
 	if len(grants) == 0 && len(refusals) == 0 {
 		return false
 	}
@@ -240,8 +259,9 @@
 		decisions(h).Refusals = r
 	}
 	for h, d := range byHost {
+		d.Lag = c.lag
 		if h == c.self() {
-			c.handleDecisions(c.self(), *d)
+			c.handleDecisions(now, c.self(), *d)
 		} else {
 			c.mesh.Send(h, methodVerdicts, pack.Of(*d))
 		}
@@ -250,7 +270,8 @@
 }
 
 // handleDecisions delivers decisions to the waiting requests.
-func (c *Coordinator) handleDecisions(from netip.AddrPort, d Decisions) {
+func (c *Coordinator) handleDecisions(now time.Time, from netip.AddrPort, d Decisions) {
+	c.setLeaderLag(now, from, d.Lag)
 	for _, g := range d.Grants {
 		p := c.pending[g.ID]
 		if p == nil {
@@ -287,7 +308,7 @@
 	c.hosts.ConnectionLost(now, host)
 	if c.clientHosts[host] {
 		delete(c.clientHosts, host)
-		c.broker.RemoveHost(now, host)
+		c.broker.RemoveHost(host)
 		c.mesh.Send(host, methodResync, struct{}{})
 	}
 	if host == c.leader {
--- a/io/coord/load.go
+++ b/io/coord/load.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -16,6 +17,22 @@
 	work     uint64        // of the broker, as of the beginning
 }
 
+// recordAge records how long a message waited for its turn.
+func (c *Coordinator) recordAge(method string, age time.Duration) {
+	c.load.add(method, age)
+	if c.batchBegins {
+		c.batchBegins, c.lag = false, 0
+	}
+	c.lag = max(c.lag, age)
+}
+
+// setLeaderLag records the lag that a host has stated, if it is the leader.
+func (c *Coordinator) setLeaderLag(now time.Time, from netip.AddrPort, lag time.Duration) {
+	if from == c.leader {
+		c.pace.SetLag(now, lag)
+	}
+}
+
 func (w *loadWindow) add(method string, age time.Duration) {
 	if w.byMethod == nil {
 		w.byMethod = map[string]int{}
--- a/io/coord/requests.go
+++ b/io/coord/requests.go
@@ -35,12 +35,15 @@
 func (c *Coordinator) Submit(r broker.Request) (uint64, <-chan Decision) {
 	p := &pendingRequest{request: r, submitted: c.settings.Now(), decision: make(chan Decision, 1)}
 	id := make(chan uint64, 1)
-	c.post(func(time.Time) {
+	c.post(func(now time.Time) {
 		c.nextID++
 		p.request.ID = c.nextID
-		if c.localSelector != nil {
+		switch {
+		case c.localSelector != nil:
 			c.chooseTarget(p)
-		} else {
+		case !p.request.InProgress() && !c.pace.Admit(now, p.request.Tier, p.request.Class):
+			p.decision <- Decision{Refusal: c.pace.Refusal(now, p.request.ID)}
+		default:
 			c.pending[p.request.ID] = p
 			c.unsent = append(c.unsent, p.request.ID)
 		}
