The time that a message waits at the leader counts as its requests' own

What callers saw: a late leader granted targets to requests whose callers had left; the places stayed taken until the unused grants had come back through the same late queue.

Cause: time limits counted from the handling of a message, not from its arrival.

TestRequestsExpireWhileTheirMessagesWait granted the expired request before.

--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -188,7 +188,7 @@
 	c.broker.Charge(now, s.QuotaUsage)
 	c.applyNotices(now, host, s.Notices)
 	c.broker.MergeStreams(now, s.Streams)
-	c.broker.Sync(now, host, s.Running, s.Requests)
+	c.broker.Sync(now, host, s.Running, aged(s.Requests, age))
 	c.sendAllCrashes(now, host)
 	c.sendNotices(now, host)
 }
@@ -233,7 +233,7 @@
 	for _, id := range u.Cancellations {
 		c.broker.Cancel(host, id)
 	}
-	for _, request := range u.Requests {
+	for _, request := range aged(u.Requests, age) {
 		c.broker.Submit(now, host, request)
 	}
 }
