A host that does not reach a target goes through another host

What callers saw: while hosts were cut off from all servers, their callers were refused, although the hosts reached the others, and those the servers.

Cause: data never went between hosts, so that a host that reaches no target had no way to serve.

Change: a connection to a target that fails is asked for at another host (HTTP CONNECT).

Evidence: TestCallersOfHostsThatAreCutOffFromAllServersAreServed, six hosts.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -26,9 +26,9 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
-	// unackedTimeout is how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT):
+	// UnackedTimeout is how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT):
 	// three losses in a row of a packet that is retransmitted after 200, 400 and 800 ms.
-	unackedTimeout = 1500 * time.Millisecond
+	UnackedTimeout = 1500 * time.Millisecond
 	readBufferSize = 4096
 	// MaxHeaderBytes limits the size of a target's response header.
 	MaxHeaderBytes = 64 << 10
@@ -60,31 +60,50 @@
 // New returns an empty pool. A nil dial means TCP.
 func New(dial DialFunc, now func() time.Time) *Pool {
 	if dial == nil {
-		dial = dialTCP
+		dial = DialTCP
 	}
 	return &Pool{dial: dial, now: now, idle: map[netip.AddrPort][]*PooledConn{}}
 }
 
-func dialTCP(ctx context.Context, target netip.AddrPort) (net.Conn, error) {
+// DialTCP opens a connection over TCP that ends when the other side is silent for too long.
+func DialTCP(ctx context.Context, target netip.AddrPort) (net.Conn, error) {
 	d := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var sockoptErr error
-			err := c.Control(func(fd uintptr) {
-				sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return sockoptErr
-		},
+		Timeout:         dialTimeout,
+		KeepAliveConfig: keepAlive,
+		Control:         func(_, _ string, c syscall.RawConn) error { return setUnackedTimeout(c) },
 	}
 	return d.DialContext(ctx, "tcp", target.String())
 }
 
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+
+func setUnackedTimeout(c syscall.RawConn) error {
+	var sockoptErr error
+	err := c.Control(func(fd uintptr) {
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UnackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return sockoptErr
+}
+
+// DetectSilence has an accepted TCP connection end as one of DialTCP does.
+func DetectSilence(conn net.Conn) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := tcp.SetKeepAliveConfig(keepAlive); err != nil {
+		return err
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUnackedTimeout(raw)
+}
+
 // Get returns a usable connection that has been idle for less than maxIdle, or dials
 // a new one.
 func (p *Pool) Get(ctx context.Context, target netip.AddrPort, maxIdle time.Duration) (*PooledConn, error) {
@@ -155,10 +174,13 @@
 	return c
 }
 
+// singleUse is implemented by connections that carry one request only.
+type singleUse interface{ SingleUse() }
+
 // Put returns an idle connection to the pool, where it may be idle for idleTimeout.
 func (p *Pool) Put(target netip.AddrPort, c *PooledConn, idleTimeout time.Duration) {
 	c.idleSince, c.idleTimeout = p.now(), idleTimeout
-	if idleTimeout <= 0 {
+	if _, once := c.Conn.(singleUse); once || idleTimeout <= 0 {
 		c.Conn.Close()
 		return
 	}
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -299,6 +299,26 @@
 	})
 }
 
+// maxNearPeers is the number of hosts of the same zone that NearestPeers puts first.
+const maxNearPeers = 2
+
+// NearestPeers returns the other live hosts in random order, two of the same zone first.
+func (c *Coordinator) NearestPeers(ctx context.Context) []netip.AddrPort {
+	var near, far []netip.AddrPort
+	_ = c.do(ctx, func(now time.Time) {
+		peers := c.hosts.Alive(now)
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		for _, p := range peers {
+			if len(near) < maxNearPeers && c.hosts.Zone(p) == c.settings.Zone {
+				near = append(near, p)
+			} else {
+				far = append(far, p)
+			}
+		}
+	})
+	return append(near, far...)
+}
+
 // Initialized returns a channel that is closed once a configuration and targets are known.
 func (c *Coordinator) Initialized() <-chan struct{} { return c.initialized }
 
--- /dev/null
+++ b/io/detour/carry.go
@@ -0,0 +1,157 @@
+package detour
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"yuccadoor/io/conns"
+)
+
+// maxCarried is the number of connections that a host carries for others at once: a small
+// part of its file descriptors, at two each.
+const maxCarried = 512
+
+// CarrierSettings are the parameters of NewCarrier.
+type CarrierSettings struct {
+	Direct conns.DialFunc // to targets
+	// MaySend reports whether this host may send requests to a target now.
+	MaySend func(target netip.AddrPort) bool
+	// Isolated reports whether this host is cut off from all targets itself.
+	Isolated func() bool
+	Now      func() time.Time
+	Log      Logger
+}
+
+// Carrier is the http.Handler that carries connections of other hosts to targets.
+type Carrier struct {
+	settings CarrierSettings
+	mu       sync.Mutex
+	active   int  // guarded by mu
+	stopping bool // guarded by mu
+	idle     *sync.Cond
+}
+
+// NewCarrier returns a carrier.
+func NewCarrier(s CarrierSettings) *Carrier {
+	c := &Carrier{settings: s}
+	c.idle = sync.NewCond(&c.mu)
+	return c
+}
+
+// ServeHTTP implements http.Handler. The status tells the asking host about the target only
+// if it is 502: this host has tried to connect and failed.
+func (c *Carrier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	target, err := netip.ParseAddrPort(r.Host)
+	switch {
+	case r.Method != http.MethodConnect || err != nil:
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	case c.settings.Isolated() || !c.begin():
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer c.end()
+	if !c.settings.MaySend(target) {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	server, err := c.settings.Direct(r.Context(), target)
+	if err != nil {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	defer server.Close()
+	if err := c.carry(w, r, server); err != nil {
+		c.settings.Log.Event("info", "carried connection ended", "From", r.RemoteAddr, "Target", target, "Error", err)
+	}
+}
+
+// begin counts a connection, unless there are too many or the host is stopping.
+func (c *Carrier) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopping || c.active >= maxCarried {
+		return false
+	}
+	c.active++
+	return true
+}
+
+func (c *Carrier) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active--
+	c.idle.Broadcast()
+}
+
+// Active returns the number of connections that are carried.
+func (c *Carrier) Active() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.active
+}
+
+// Stop takes no new connections and waits until the others have ended.
+func (c *Carrier) Stop(ctx context.Context) {
+	stop := context.AfterFunc(ctx, c.idle.Broadcast)
+	defer stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	for c.active > 0 && ctx.Err() == nil {
+		c.idle.Wait()
+	}
+}
+
+// carry passes bytes on in both directions until one side has ended. A side that breaks off
+// is passed on as a reset, so that a truncated answer does not look complete.
+func (c *Carrier) carry(w http.ResponseWriter, r *http.Request, server net.Conn) error {
+	client, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return errors.Wrap(err, "take over the connection")
+	}
+	defer client.Close()
+	if err := conns.DetectSilence(client); err != nil {
+		return errors.Wrap(err, "set up the connection of the asking host")
+	}
+	if _, err := io.WriteString(client, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+		return errors.Wrap(err, "answer the asking host")
+	}
+	started := c.settings.Now()
+	var up int64
+	var upErr error
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		up, upErr = io.Copy(server, io.MultiReader(io.LimitReader(buffered, int64(buffered.Reader.Buffered())), client))
+		// The asking host has no more to send, or has given the request up.
+		server.Close()
+	})
+	down, downErr := io.Copy(client, server)
+	if downErr != nil && !errors.Is(downErr, net.ErrClosed) {
+		reset(client)
+	}
+	client.Close()
+	sending.Wait()
+	c.settings.Log.Event("info", "connection carried", "From", r.RemoteAddr, "Target", r.Host, "Up", up, "Down", down, "Took", c.settings.Now().Sub(started))
+	if upErr != nil && !errors.Is(upErr, net.ErrClosed) {
+		return errors.Wrap(upErr, "from the asking host")
+	}
+	if errors.Is(downErr, net.ErrClosed) {
+		return nil
+	}
+	return errors.Wrap(downErr, "from the target")
+}
+
+// reset has the connection end with a reset when it is closed.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,7 @@
 	"yuccadoor/io/accept"
 	"yuccadoor/io/conns"
 	"yuccadoor/io/coord"
+	"yuccadoor/io/detour"
 	"yuccadoor/io/gate"
 	"yuccadoor/io/logs"
 	"yuccadoor/io/mesh"
@@ -40,6 +42,7 @@
 	serviceMesh    = "mesh"
 	serviceRelay   = "relay"
 	serviceSource  = "source"
+	serviceCarry   = "carry"
 	serviceReady   = "ready"
 	serviceAdmin   = "admin"
 	serviceFront   = "front"
@@ -68,6 +71,7 @@
 	ReadyPath   string
 	Peer        netip.AddrPort // address at which other hosts reach this one
 	PeerListen  netip.AddrPort // listen address for other hosts; Peer if invalid
+	Carry       netip.AddrPort // listen address for other hosts that cannot reach targets, on the same port at all hosts; none if invalid
 	Admin       netip.AddrPort // listen address for operators; none if invalid
 	Seeds       []netip.AddrPort
 	CPUShare    int // in hundredths of a core
@@ -113,6 +117,8 @@
 	grace         atomic.Int64 // in nanoseconds; updated by Reload
 	settingsState settingsState
 	metrics       *hostMetrics
+	dialer        *detour.Dialer
+	carrier       *detour.Carrier
 }
 
 // New starts a host and returns it with its cleanup function, which stops it at once.
@@ -144,6 +150,7 @@
 		{Name: serviceRelay, Start: h.startRelay},
 		{Name: serviceSource, Start: h.startSource},
 		{Name: serviceMesh, Start: h.startMesh}, // from here on the coordinator runs
+		{Name: serviceCarry, Start: h.startCarry},
 		{Name: serviceReady, Start: h.startReady},
 		{Name: serviceAdmin, Start: h.startAdmin},
 		{Name: serviceFront, Start: h.startFront},
@@ -215,10 +222,52 @@
 }
 
 func (h *Host) startRelay(ctx context.Context, _ *kernel.Kernel) (any, kernel.Cleanup, error) {
-	s, cleanup := relay.New(ctx, h.options.Dialect.HeaderNames(), h.options.Dial, h.options.Now)
+	direct := h.options.Dial
+	if direct == nil {
+		direct = conns.DialTCP
+	}
+	h.dialer = detour.NewDialer(detour.Settings{Direct: direct, Peers: h.carriers, Now: h.options.Now, Log: h.log})
+	h.carrier = detour.NewCarrier(detour.CarrierSettings{
+		Direct: direct, MaySend: h.maySendTo, Isolated: h.dialer.Isolated, Now: h.options.Now, Log: h.log,
+	})
+	h.metrics.set.NewGauge("yuccadoor_carried_connections", func() float64 { return float64(h.carrier.Active()) })
+	s, cleanup := relay.New(ctx, h.options.Dialect.HeaderNames(), h.dialer.Dial, h.options.Now)
 	return s, cleanup, nil
 }
 
+// carriers returns the addresses at which other hosts carry connections to targets.
+func (h *Host) carriers(ctx context.Context) []netip.AddrPort {
+	if !h.settings.Carry.IsValid() {
+		return nil
+	}
+	var all []netip.AddrPort
+	for _, peer := range h.coord.NearestPeers(ctx) {
+		all = append(all, netip.AddrPortFrom(peer.Addr(), h.settings.Carry.Port()))
+	}
+	return all
+}
+
+// maySendTo reports whether this host may send requests to the target at an address.
+func (h *Host) maySendTo(address netip.AddrPort) bool {
+	v := h.coord.View()
+	for id, t := range v.Roster.Targets {
+		if t.Address == address {
+			_, ok := v.MaySend(h.options.Now(), id)
+			return ok
+		}
+	}
+	return false
+}
+
+func (h *Host) startCarry(context.Context, *kernel.Kernel) (any, kernel.Cleanup, error) {
+	if !h.settings.Carry.IsValid() {
+		return h.carrier, nil, nil
+	}
+	server := &http.Server{ReadHeaderTimeout: readHeaderTimeout, Handler: h.carrier}
+	cleanup, err := accept.Serve(server, h.settings.Carry, 0, h.log)
+	return h.carrier, cleanup, errors.Wrap(err, "listen for hosts that cannot reach targets")
+}
+
 func (h *Host) startSource(ctx context.Context, _ *kernel.Kernel) (any, kernel.Cleanup, error) {
 	r, cleanup := h.options.Source(ctx, h.coord, h.log)
 	return r, cleanup, nil
@@ -318,7 +367,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(grace-exitMargin-h.options.Now().Sub(started), 0))
 	defer cancel()
+	var carried sync.WaitGroup
+	carried.Go(func() { h.carrier.Stop(ctx) })
 	err := h.front.Shutdown(ctx)
+	carried.Wait()
 	h.log.Event("info", "host stopped", "Took", h.options.Now().Sub(started), "Error", err)
 	return nil
 }
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -97,6 +97,7 @@
 		return attemptResult{outcome: orCancelled(ctx, broker.Broken), mayHaveRun: true, err: sendErr}
 	}
 	defer response.Close()
+	c.through = response.Through
 	c.handleNotice(t, response, sentAt)
 	c.reportUnknownNotices(t, response)
 	var r attemptResult
--- a/io/gate/call.go
+++ b/io/gate/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -47,6 +48,7 @@
 	cause           string
 	targetID        string
 	targetZone      string
+	through         netip.AddrPort // host through which the last target was reached; invalid if directly
 	targetVersion   string
 	queueTime       time.Duration // spent waiting for grants
 	expectedWait    time.Duration // as of the coordinator's refusal
@@ -286,12 +288,16 @@
 	if c.handler.Recorder != nil {
 		c.handler.Recorder.RecordOutcome(o)
 	}
+	through := ""
+	if c.through.IsValid() {
+		through = c.through.String()
+	}
 	version := uint64(0)
 	if c.view.Config != nil {
 		version = c.view.Config.Version
 	}
 	c.handler.Log.Event("info", "request ended", "Request", c.info.ID, "Content", c.content, "Parts", c.info.SharedParts, "Route", route, "Service", c.service,
-		"Workspace", o.Workspace, "Tier", tier, "Class", class, "Status", c.status, "Cause", c.cause, "Target", c.targetID, "TargetVersion", c.targetVersion, "Resumes", c.info.Resumes, "AfterEvent", c.info.LastEventID,
+		"Workspace", o.Workspace, "Tier", tier, "Class", class, "Status", c.status, "Cause", c.cause, "Target", c.targetID, "TargetVersion", c.targetVersion, "Through", through, "Resumes", c.info.Resumes, "AfterEvent", c.info.LastEventID,
 		"Sends", c.sends, "Ran", c.runs, "Waited", c.queueTime, "Turn", c.expectedWait, "After", c.retryAfter,
 		"Prompt", c.info.PromptTokens, "Output", c.info.MaxOutputTokens, "Events", c.events, "Aim", objective, "First", c.timeToFirstPart, "Pause", c.maxGap, "Total", total,
 		"Version", version, "Revision", c.view.Roster.Revision, "Avoided", strings.Join(c.excludedTargets, ","))
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -144,6 +144,8 @@
 	Stream bool // the body is an event stream
 	NotRun bool // the target states that it did not run the request
 	Reused bool // the connection had carried another request before
+	// Through is the host through which the target was reached; invalid if directly.
+	Through netip.AddrPort
 	// Unframed is set if the body has neither a length nor chunks: its end cannot be
 	// told from an orderly close by a target that stops within it.
 	Unframed bool
@@ -174,6 +176,9 @@
 		return nil, &SendError{Err: errors.Wrapf(ErrNotAllowed, "send to target %s", c.Target)}
 	}
 	r := &Response{sender: s, call: c, conn: conn, Reused: conn.Reused}
+	if detour, ok := conn.Conn.(interface{ Through() netip.AddrPort }); ok {
+		r.Through = detour.Through()
+	}
 	r.stopCancel = context.AfterFunc(ctx, func() { conn.Conn.SetDeadline(time.Unix(1, 0)) })
 	sent, err := r.writeRequest()
 	if err != nil {
