What a host sees of its own path is not taken for the state of a target

What callers saw: while two hosts were cut off from all servers, callers of the hosts that reached them were refused too (NoTarget).

Cause: two hosts that failed to connect to a target had all hosts back off from it, and three answers that one host lost ejected it for all. A host that is cut off fails at every target.

Change: a host that has failed to connect to three targets, without an answer in between, does not count among those that agree. Lost answers count against a target if several hosts lose them, or if there is only one host.

TestHostsThatAreCutOffDoNotBlockOthers and TestHostThatLosesAnswersDoesNotEjectTargets (one host) failed before.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -68,6 +68,8 @@
 	meanSizes      map[sizeKey]float64 // mean size of requests, in prompt tokens
 	quota          *quota.Buckets
 	reachableShare float64        // of the fleet that this host reaches, 0 to 1
+	aliveHosts     int            // with this one; 0 if not known
+	unreached      unreached
 	crashes        *crash.Records // of whole requests
 	parts          *parts.Records // crashes by parts of prompts
 	notices        *notice.Store
@@ -97,7 +99,7 @@
 		queues: map[string][]*queuedRequest{}, waiting: map[requestKey]*queuedRequest{}, runs: map[requestKey]*run{}, runsByPart: map[model.PromptPart]int{},
 		targets:   map[string]*target{},
 		latencies: map[string]*latencyEstimate{}, meanSizes: map[sizeKey]float64{}, quota: quota.New(t), crashes: crash.NewRecords(self, crashThreshold), parts: parts.NewRecords(self), reachableShare: 1,
-		notices: notice.NewStore(), origins: origin.New(), unmatched: map[string]bool{}, shedAt: map[string]time.Time{},
+		unreached: unreached{}, notices: notice.NewStore(), origins: origin.New(), unmatched: map[string]bool{}, shedAt: map[string]time.Time{},
 		grants: map[netip.AddrPort][]Grant{}, refusals: map[netip.AddrPort][]Refusal{},
 	}
 }
@@ -123,7 +125,7 @@
 // hosts among known ones. Limits that hold over all hosts are used only up to
 // this share.
 func (b *Broker) SetReachableShare(alive, known int) {
-	b.reachableShare = float64(alive) / float64(max(alive, known))
+	b.reachableShare, b.aliveHosts = float64(alive)/float64(max(alive, known)), alive
 	b.quota.SetShare(b.reachableShare)
 }
 
@@ -140,7 +142,7 @@
 	for id, published := range s.Targets {
 		t := b.targets[id]
 		if t == nil {
-			t = newTarget(now)
+			t = newTarget(now, b.unreached)
 			b.targets[id] = t
 		}
 		t.published = published
@@ -229,7 +231,8 @@
 			b.returnTokens(r.queued)
 		}
 	}
-	t.recordOutcome(now, host, c, prompt)
+	b.unreached.record(host, c.Target, c.Outcome)
+	t.recordOutcome(now, host, c, prompt, b.aliveHosts <= 1)
 	if t.published != nil {
 		b.eject(now, t)
 	}
@@ -304,6 +307,7 @@
 	}
 	delete(b.grants, host)
 	delete(b.refusals, host)
+	delete(b.unreached, host)
 	b.markAllUnmatched()
 }
 
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -262,6 +262,51 @@
 	assert.Equal(t, s.granted(hostC, s.submit(hostC, Request{})), "t1")
 }
 
+// Regression test: two hosts that were cut off from all targets had all hosts back off from
+// them, one target after the other.
+func TestHostsThatAreCutOffDoNotBlockOthers(t *testing.T) {
+	s := newSimulation(8)
+	for range 3 {
+		for _, host := range []netip.AddrPort{hostA, hostB} {
+			for range 8 {
+				s.complete(host, s.submit(host, Request{}), NoConnect, 0)
+			}
+		}
+		hostC := netip.MustParseAddrPort("10.0.0.3:1")
+		for range 8 {
+			id := s.submit(hostC, Request{})
+			assert.Assert(t, s.granted(hostC, id) != "")
+			s.complete(hostC, id, Unused, 0)
+		}
+		s.advance(maxBackoff)
+	}
+}
+
+// Regression test: a host whose path broke lost the answers of all targets, which were
+// ejected for all hosts.
+func TestHostThatLosesAnswersDoesNotEjectTargets(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		losers  []netip.AddrPort
+		granted bool
+	}{
+		{"one host", []netip.AddrPort{hostA}, true},
+		{"two hosts", []netip.AddrPort{hostA, hostB}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSimulation(4)
+			s.b.SetReachableShare(3, 3)
+			others := []string{"t1", "t2", "t3"}
+			for n := range 2 * ejectAfterFailures {
+				loser := c.losers[n%len(c.losers)]
+				s.complete(loser, s.submit(loser, Request{ExcludedTargets: others}), Broken, 0)
+			}
+			hostC := netip.MustParseAddrPort("10.0.0.3:1")
+			assert.Equal(t, s.granted(hostC, s.submit(hostC, Request{ExcludedTargets: others})) != "", c.granted)
+		})
+	}
+}
+
 // Regression test: a target that fails immediately always has free slots, and got
 // most of the requests.
 func TestTargetThatOnlyFailsIsEjected(t *testing.T) {
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -56,6 +56,8 @@
 	failureShare float64       // of its answers, 0 to 1
 	// connectBackoffs holds the hosts that recently failed to connect.
 	connectBackoffs     map[netip.AddrPort]connectBackoff
+	unreached           unreached               // of all targets
+	lostBy              map[netip.AddrPort]bool // hosts that lost an answer since the last good one
 	rejectedUntil       time.Time
 	consecutiveFailures int           // failed answers since the last good one
 	ejectedUntil        time.Time     // after too many failures
@@ -85,8 +87,10 @@
 // host may be cut off from the target, or have sent it too many requests.
 const minAgreeingHosts = 2
 
-func newTarget(now time.Time) *target {
-	return &target{nextColdGrant: now, connectBackoffs: map[netip.AddrPort]connectBackoff{}}
+func newTarget(now time.Time, u unreached) *target {
+	return &target{
+		nextColdGrant: now, connectBackoffs: map[netip.AddrPort]connectBackoff{}, unreached: u, lostBy: map[netip.AddrPort]bool{},
+	}
 }
 
 // cold reports whether the target is limited to its cold rate, as published or as
@@ -103,8 +107,8 @@
 // blockedForAll is how much longer all hosts back off from the target.
 func (t *target) blockedForAll(now time.Time) time.Duration {
 	var waits []time.Duration
-	for _, backoff := range t.connectBackoffs {
-		if wait := backoff.until.Sub(now); wait > 0 {
+	for host, backoff := range t.connectBackoffs {
+		if wait := backoff.until.Sub(now); wait > 0 && !t.unreached.isolated(host) {
 			waits = append(waits, wait)
 		}
 	}
@@ -166,8 +170,8 @@
 	}
 }
 
-// recordOutcome records how a request ended.
-func (t *target) recordOutcome(now time.Time, host netip.AddrPort, c Completion, prompt int) {
+// recordOutcome records how a request ended. onlyHost is set if there are no other hosts.
+func (t *target) recordOutcome(now time.Time, host netip.AddrPort, c Completion, prompt int, onlyHost bool) {
 	if c.ColdLeft > 0 {
 		t.coldUntil = now.Add(c.ColdLeft)
 	}
@@ -180,12 +184,15 @@
 		delete(t.connectBackoffs, host)
 	}
 	if c.Outcome == Cancelled && c.TimeToFirstPart == 0 && c.Took > silenceTimeout {
-		t.consecutiveFailures++
+		if t.isLossOfItsOwn(host, onlyHost) {
+			t.consecutiveFailures++
+		}
 		return
 	}
 	switch c.Outcome {
 	case Good:
 		t.consecutiveFailures = 0
+		clear(t.lostBy)
 		t.failureShare *= 1 - averageWeight
 		t.observeSpeed(c, prompt)
 	case Failed:
@@ -196,11 +203,21 @@
 	case Broken:
 		// A stopped server shows in the next failure to connect. Answers
 		// lost in transit are no reason to back off from a healthy one.
-		t.consecutiveFailures++
-		t.failureShare += averageWeight * (1 - t.failureShare)
+		if t.isLossOfItsOwn(host, onlyHost) {
+			t.consecutiveFailures++
+			t.failureShare += averageWeight * (1 - t.failureShare)
+		}
 	}
 }
 
+// isLossOfItsOwn records that a host lost an answer, and reports whether that counts against
+// the target: if several hosts lose answers, or there is only one. Otherwise it may be the
+// path of that host.
+func (t *target) isLossOfItsOwn(host netip.AddrPort, onlyHost bool) bool {
+	t.lostBy[host] = true
+	return onlyHost || len(t.lostBy) >= minAgreeingHosts
+}
+
 // recordConnectFailure extends the backoff of a host that failed to connect.
 func (t *target) recordConnectFailure(now time.Time, host netip.AddrPort) {
 	backoff := t.connectBackoffs[host]
