Connections outlast a silence of a second and a half

What callers saw: a sound server that was silent for 1.1 s lost its connections and what ran there.

Cause: TCP_USER_TIMEOUT (1.5 s) also decides when keep-alive probes give up, so that the second probe, due 2 s after the last byte, ended the connection; so did data in its third retransmission.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -26,9 +26,11 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
-	// UnackedTimeout is how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT):
-	// three losses in a row of a packet that is retransmitted after 200, 400 and 800 ms.
-	UnackedTimeout = 1500 * time.Millisecond
+	// UnackedTimeout is how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT). It
+	// leaves time for the fourth retransmission, 3 s after the bytes were sent, which is the
+	// first after a silence of one and a half to three seconds. It also decides when
+	// unanswered probes end a connection.
+	UnackedTimeout = 3100 * time.Millisecond
 	readBufferSize = 4096
 	// MaxHeaderBytes limits the size of a target's response header.
 	MaxHeaderBytes = 64 << 10
