Brittle targets are not made to fail

What callers saw: servers that say in their answers that they are brittle (Server-Brittle) fell over, and all that ran there with them.

Cause: the header was unknown and dropped. A leader hands a target as many requests as its published places, and learns by rejections that there is less room.

Change: requests granted to a brittle target within the last quarter second that have not ended, and rejections within the last second, are kept under the number that it named, over all hosts; a part of the fleet uses its share. The notice reaches all hosts, and a new leader, like a limit.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -67,8 +67,8 @@
 	latencies      map[string]*latencyEstimate
 	meanSizes      map[sizeKey]float64 // mean size of requests, in prompt tokens
 	quota          *quota.Buckets
-	reachableShare float64        // of the fleet that this host reaches, 0 to 1
-	aliveHosts     int            // with this one; 0 if not known
+	reachableShare float64 // of the fleet that this host reaches, 0 to 1
+	aliveHosts     int     // with this one; 0 if not known
 	unreached      unreached
 	crashes        *crash.Records // of whole requests
 	parts          *parts.Records // crashes by parts of prompts
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -59,12 +59,14 @@
 	unreached           unreached               // of all targets
 	lostBy              map[netip.AddrPort]bool // hosts that lost an answer since the last good one
 	rejectedUntil       time.Time
-	consecutiveFailures int           // failed answers since the last good one
-	ejectedUntil        time.Time     // after too many failures
-	coldUntil           time.Time     // as reported with an answer
-	nextColdGrant       time.Time     // when a cold target may be granted its next request
-	nextLimitedGrant    time.Time     // when a target that named a limit may be granted its next request
-	notice              *notice.State // what it reported of itself; nil for nothing
+	unconfirmed         map[requestKey]time.Time // when requests were granted that a brittle target may still reject
+	rejectedAt          []time.Time              // lately, if the target is brittle
+	consecutiveFailures int                      // failed answers since the last good one
+	ejectedUntil        time.Time                // after too many failures
+	coldUntil           time.Time                // as reported with an answer
+	nextColdGrant       time.Time                // when a cold target may be granted its next request
+	nextLimitedGrant    time.Time                // when a target that named a limit may be granted its next request
+	notice              *notice.State            // what it reported of itself; nil for nothing
 	// prefillUntil is the estimated time at which all granted prompts are read;
 	// engines read them one after the other.
 	prefillUntil time.Time
@@ -89,7 +91,7 @@
 
 func newTarget(now time.Time, u unreached) *target {
 	return &target{
-		nextColdGrant: now, connectBackoffs: map[netip.AddrPort]connectBackoff{}, unreached: u, lostBy: map[netip.AddrPort]bool{},
+		nextColdGrant: now, connectBackoffs: map[netip.AddrPort]connectBackoff{}, unreached: u, lostBy: map[netip.AddrPort]bool{}, unconfirmed: map[requestKey]time.Time{},
 	}
 }
 
@@ -145,6 +147,9 @@
 	if _, limited := t.notice.Limit(); limited && now.Before(t.nextLimitedGrant) {
 		return false
 	}
+	if !t.mayRiskRejection(now, b) {
+		return false
+	}
 	return !t.cold(now) || !now.Before(t.nextColdGrant)
 }
 
@@ -162,6 +167,9 @@
 func (t *target) recordGrant(now time.Time, b *Broker, q *queuedRequest) {
 	t.prefillUntil = now.Add(t.prefillBacklog(now) + b.prefillTime(q, t))
 	t.recordAllowedEventGap(q)
+	if _, brittle := t.notice.Brittle(now); brittle {
+		t.unconfirmed[q.requestKey] = now
+	}
 	if interval := b.limitInterval(t); interval > 0 {
 		t.nextLimitedGrant = now.Add(interval)
 	}
@@ -172,6 +180,7 @@
 
 // recordOutcome records how a request ended. onlyHost is set if there are no other hosts.
 func (t *target) recordOutcome(now time.Time, host netip.AddrPort, c Completion, prompt int, onlyHost bool) {
+	delete(t.unconfirmed, requestKey{host, c.ID})
 	if c.ColdLeft > 0 {
 		t.coldUntil = now.Add(c.ColdLeft)
 	}
@@ -200,6 +209,7 @@
 		t.failureShare += averageWeight * (1 - t.failureShare)
 	case Rejected:
 		t.rejectedUntil = now.Add(rejectBackoff)
+		t.rejectedAt = append(since(t.rejectedAt, now.Add(-rejectionWindow)), now)
 	case Broken:
 		// A stopped server shows in the next failure to connect. Answers
 		// lost in transit are no reason to back off from a healthy one.
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -32,6 +32,9 @@
 	// coldTolerance is the difference between two statements of the end of a cold phase
 	// that counts as none: answers are delayed by different times.
 	coldTolerance = 250 * time.Millisecond
+	// brittleLife is how long a target counts as brittle after an answer that says so: all
+	// its answers do while it is.
+	brittleLife = 10 * time.Second
 )
 
 // Notice is what one answer of a target reports of the target. A zero Pause asks
@@ -49,13 +52,18 @@
 	// Cold is how long the target stays cold, from receipt on; 0 if it is warm or does
 	// not say.
 	Cold time.Duration `cbor:"7,keyasint,omitempty"`
+	// Brittle is the number of requests that the target may have to turn away in a second;
+	// with one more it fails. 0 if the answer names none.
+	Brittle int `cbor:"8,keyasint,omitempty"`
 }
 
 // Empty reports whether the notice contains nothing.
 func (n Notice) Empty() bool { return n.Pause <= 0 && !n.ForAllHosts() }
 
 // ForAllHosts reports whether the notice contains something that concerns all hosts.
-func (n Notice) ForAllHosts() bool { return n.Leaving || n.Limit > 0 || n.Unlimited || n.Cold > 0 }
+func (n Notice) ForAllHosts() bool {
+	return n.Leaving || n.Limit > 0 || n.Unlimited || n.Cold > 0 || n.Brittle > 0
+}
 
 // State is what one lifetime of a target has reported of itself. A nil State has
 // no reports.
@@ -67,11 +75,23 @@
 	limit      float64                      // requests a second; 0 for none
 	limitedAt  time.Time                    // when the limit became known
 	coldUntil  time.Time                    // end of the cold phase
+	brittle    int                          // see Notice; valid until brittleUntil
+	// brittleUntil is when brittleness ends unless an answer names it again.
+	brittleUntil time.Time
 }
 
 // Cold reports whether the target has reported that it is cold.
 func (s *State) Cold(now time.Time) bool { return s != nil && now.Before(s.coldUntil) }
 
+// Brittle returns the number of requests that the target may have to turn away in a second
+// without failing, and whether there is such a number.
+func (s *State) Brittle(now time.Time) (perSecond int, ok bool) {
+	if s == nil || !now.Before(s.brittleUntil) {
+		return 0, false
+	}
+	return s.brittle, true
+}
+
 // Limit returns the number of requests a second that the target takes from all hosts
 // together, and whether there is such a limit.
 func (s *State) Limit() (perSecond float64, ok bool) {
@@ -111,6 +131,7 @@
 func (s *State) covers(now time.Time, host netip.AddrPort, n Notice) bool {
 	return (s.leaving || !n.Leaving) && s.PauseLeft(now, host) >= n.Pause &&
 		(n.Limit == 0 || n.Limit == s.limit) && (!n.Unlimited || s.limit == 0) &&
+		(n.Brittle == 0 || n.Brittle == s.brittle && s.brittleUntil.Sub(now) > brittleLife/2) &&
 		(n.Cold <= 0 || !now.Add(n.Cold).After(s.coldUntil.Add(coldTolerance)))
 }
 
@@ -160,6 +181,9 @@
 	}
 	state.leaving = state.leaving || n.Leaving
 	state.setLimit(now, n)
+	if n.Brittle > 0 {
+		state.brittle, state.brittleUntil = n.Brittle, now.Add(brittleLife)
+	}
 	if until := now.Add(n.Cold); n.Cold > 0 && until.After(state.coldUntil) {
 		state.coldUntil = until
 	}
@@ -202,6 +226,7 @@
 	for _, id := range ids {
 		state := s.targets[id]
 		n := Notice{Target: id, Born: state.born, Leaving: state.leaving, Pause: state.PauseLeft(now, host), Limit: state.limit, Cold: max(state.coldUntil.Sub(now), 0)}
+		n.Brittle, _ = state.Brittle(now)
 		if !n.Empty() && len(all) < maxHandover {
 			all = append(all, n)
 		}
--- a/io/coord/notice.go
+++ b/io/coord/notice.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		changed = true
-		c.settings.Log.Event("info", "target notice", "Target", n.Target, "Born", n.Born, "Host", host, "Leaving", n.Leaving, "Pause", n.Pause, "Limit", n.Limit, "Unlimited", n.Unlimited, "Cold", n.Cold)
+		c.settings.Log.Event("info", "target notice", "Target", n.Target, "Born", n.Born, "Host", host, "Leaving", n.Leaving, "Pause", n.Pause, "Limit", n.Limit, "Unlimited", n.Unlimited, "Cold", n.Cold, "Brittle", n.Brittle)
 		if n.ForAllHosts() && c.leader == c.self() {
 			n.Pause = 0 // a pause applies to one host only
 			c.sharedNotices = append(c.sharedNotices, n)
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -129,6 +129,9 @@
 	if n.Limit > 0 {
 		c.handler.Recorder.RecordNotice(NoticeLimit)
 	}
+	if n.Brittle > 0 {
+		c.handler.Recorder.RecordNotice(NoticeBrittle)
+	}
 	if c.handler.Dialect.VerifyOrigin(t.ID, response.Status, response.Header) == nil {
 		n.Cold = c.handler.Dialect.ColdRemaining(response.Header)
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -124,6 +124,7 @@
 	NoticeLeaving NoticeKind = "Leaving"
 	NoticePause   NoticeKind = "Pause"
 	NoticeLimit   NoticeKind = "Limit"
+	NoticeBrittle NoticeKind = "Brittle"
 	NoticeIgnored NoticeKind = "Ignored" // unreadable, or in a response of another target
 	NoticeUnknown NoticeKind = "Unknown" // in a header that the dialect does not know
 )
