A stream is not taken up by a host that is out of step

Report of another operator: a host that was cut off from the others, or stood still, took up streams that had begun at servers of a new version, and had them go on at another one. It could happen here.

Cause: the only version that is known counts as the one that began a stream, known to a host that cannot know of others: it leads alone since a moment ago, or still leads after a pause.

Records and prompts that engines keep count as before.

--- a/core/broker/stream.go
+++ b/core/broker/stream.go
@@ -107,6 +107,9 @@
 	return all
 }
 
+// SetOutOfStep sets whether other hosts may know of targets that this one does not.
+func (b *Broker) SetOutOfStep(now time.Time, on bool) { b.origins.SetOutOfStep(now, on) }
+
 // MergeStreams records the streams that a host has begun under former leaders.
 func (b *Broker) MergeStreams(now time.Time, begun []origin.Begun) {
 	b.origins.Merge(now, begun)
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -101,6 +101,8 @@
 	log     *Log
 	targets *roster.Snapshot
 	since   time.Time // from which on it is known what was published; zero before
+	// outOfStep is set while other hosts may know of targets that this one does not.
+	outOfStep bool
 	// seen is when a version of a service was last published, by service.
 	seen     map[string]map[string]time.Time
 	listings map[string]listing // by target
@@ -121,6 +123,15 @@
 // SetLife sets the longest time that a request for a stream may take.
 func (s *Store) SetLife(longest time.Duration) { s.log.SetLife(longest) }
 
+// SetOutOfStep sets whether other hosts may know of targets that this one does not. What was
+// published meanwhile is not known afterwards either.
+func (s *Store) SetOutOfStep(now time.Time, on bool) {
+	s.outOfStep = on
+	if on {
+		s.since = now
+	}
+}
+
 // SetTargets replaces the published targets.
 func (s *Store) SetTargets(now time.Time, targets *roster.Snapshot) {
 	if s.since.IsZero() {
@@ -161,7 +172,7 @@
 	}
 	version, ok := s.onlyVersion(now, stream.Service)
 	switch {
-	case ok && (s.knowsAll(now) || stream.Part == 0):
+	case ok && !s.outOfStep && (s.knowsAll(now) || stream.Part == 0):
 		// Without a prompt, nothing else can tell: a host that has just started goes by
 		// what it has seen.
 		return version, Known
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -141,6 +141,7 @@
 	// none has.
 	configBehindSince time.Time
 	load              loadWindow
+	step              stepState
 	pace              broker.Pace             // of messages to the leader
 	lag               time.Duration           // age of the oldest message of the last batch
 	batchBegins       bool                    // no message of the present batch was handled yet
@@ -214,6 +215,7 @@
 	}
 	c.settings.Log.Event("warn", "process was paused", "Length", gap)
 	c.synced = false
+	c.setUnsettled(now)
 	c.hosts.Resume(now)
 	if c.settings.OnPause != nil {
 		c.settings.OnPause()
--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -36,7 +36,7 @@
 func (c *Coordinator) applyListing(now time.Time, p roster.Position, targets []roster.Target, out []string) {
 	former := c.rosterPosition()
 	c.roster.Replace(now, p, targets, out, roster.ListingOptions{Outage: c.inOutage(now)})
-	c.hasListing = true
+	c.hasListing, c.step.listedAt = true, now
 	c.rosterChanged(now)
 	c.eraChanged(former, netip.AddrPort{})
 }
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -90,6 +90,7 @@
 func (c *Coordinator) updateLeader(now time.Time) {
 	alive, known := c.hosts.Counts(now)
 	c.broker.SetReachableShare(alive, known)
+	c.updateStep(now, alive, known)
 	for h := range c.clientHosts {
 		if !c.hosts.IsAlive(now, h) && h != c.self() {
 			delete(c.clientHosts, h)
@@ -101,6 +102,9 @@
 		return
 	}
 	if leader != c.leader {
+		if leader == c.self() && !c.reading {
+			c.setUnsettled(now)
+		}
 		c.settings.Log.Event("info", "leader changed", "Leader", leader, "Former", c.leader, "Alive", alive, "Known", known)
 		c.leader, c.synced = leader, false
 		c.pace.SetLag(now, 0) // another process, with a queue of its own
