A target that two hosts do not reach is not asked of a third

What callers saw: a request to a server that had stopped waited for up to four other hosts to try it too, one after the other, before another server was tried.

A host that reaches other targets now asks one host; one that is cut off from all goes on.

--- a/io/detour/detour.go
+++ b/io/detour/detour.go
@@ -89,6 +89,7 @@
 	}
 	d.mu.Lock()
 	peers = d.paths.Order(d.settings.Now(), peers, maxHosts)
+	isolated := d.paths.Isolated()
 	d.mu.Unlock()
 	down := 0
 	for _, peer := range peers {
@@ -98,7 +99,9 @@
 			return conn, nil
 		}
 		if errors.Is(err, errTargetDown) {
-			down++
+			if down++; !isolated {
+				break // two hosts do not reach it, and this one reaches others
+			}
 		}
 		d.update(func(now time.Time, p *paths.Paths) { p.Avoid(now, peer) })
 		if ctx.Err() != nil {
@@ -178,8 +181,8 @@
 	if err := request.Write(conn); err != nil {
 		return errors.Wrap(err, "send request")
 	}
-	// The target sends nothing before it has a request, so that nothing of it is buffered.
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, request)
 	switch {
 	case err != nil:
 		return errors.Wrap(err, "read response")
@@ -187,6 +190,8 @@
 		return errTargetDown
 	case response.StatusCode != http.StatusOK:
 		return errors.Errorf("status %d", response.StatusCode)
+	case reader.Buffered() > 0:
+		return errors.New("the target sent bytes before it had a request")
 	case !stop():
 		return ctx.Err()
 	}
