Plain targets are not idle while decisions lag

Cause: an order runs for 30 ms, and its place counts as taken until its end has been heard of; with a lag of 50 to 100 ms the place is idle for most of the time.

Change: while decisions lag, a target of a plain service is granted up to twice its slots, by the ratio of the lag to its time for an answer. Targets queue a few requests.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -70,6 +70,7 @@
 	reachableShare float64 // of the fleet that this host reaches, 0 to 1
 	aliveHosts     int     // with this one; 0 if not known
 	unreached      unreached
+	lag            time.Duration  // moving average; see SetLag
 	crashes        *crash.Records // of whole requests
 	parts          *parts.Records // crashes by parts of prompts
 	notices        *notice.Store
--- a/core/broker/storm_test.go
+++ b/core/broker/storm_test.go
@@ -98,7 +98,9 @@
 	revision    uint64
 	asked       map[int]int // by second
 	inTime      map[int]int
+	byRoute     map[*stormRoute][2]int // asked and in time, of the seconds of the storm
 	cost        time.Duration
+	freeAt      map[string][]time.Time // when each slot of a target is free
 	paces       map[netip.AddrPort]*Pace
 	outgoing    map[netip.AddrPort][]func(now time.Time) // of hosts, not yet sent
 }
@@ -113,7 +115,7 @@
 	s := &storm{
 		b: New(quota.Tolerance{}, 1), roster: roster.New(), random: rand.New(rand.NewPCG(seed, 0)), now: start, rate: rate,
 		requests: map[uint64]*stormRequest{}, asked: map[int]int{}, inTime: map[int]int{}, outgoing: map[netip.AddrPort][]func(time.Time){},
-		paces: map[netip.AddrPort]*Pace{},
+		paces: map[netip.AddrPort]*Pace{}, byRoute: map[*stormRoute][2]int{}, freeAt: map[string][]time.Time{},
 	}
 	s.b.SetConfig(s.now, (&routes.Config{Version: 1, Services: []routes.Service{
 		{Name: "engine", Engine: true, Slots: 4, ColdPerSecond: 8}, {Name: "plain"},
@@ -162,9 +164,18 @@
 func (s *storm) arrive(r *stormRoute) {
 	s.at(time.Duration(s.random.ExpFloat64()/(r.rate*s.rate)*float64(time.Second)), func() { s.arrive(r) })
 	s.asked[s.second(s.now)]++
+	s.count(r, 0, s.now)
 	s.ask(&stormRequest{route: r, firstTry: s.now})
 }
 
+func (s *storm) count(r *stormRoute, what int, at time.Time) {
+	if second := s.second(at); second >= 4 && second < 9 {
+		c := s.byRoute[r]
+		c[what]++
+		s.byRoute[r] = c
+	}
+}
+
 func (s *storm) second(at time.Time) int { return int(at.Sub(start) / time.Second) }
 
 func (s *storm) ask(r *stormRequest) {
@@ -254,8 +265,11 @@
 	if r.route.output == 0 {
 		first = took
 	}
+	wait := s.occupy(g.Target, took)
+	first, took = first+wait, took+wait
 	if s.now.Add(first).Sub(r.firstTry) <= r.route.aim {
 		s.inTime[s.second(r.firstTry)]++
+		s.count(r.route, 1, r.firstTry)
 	}
 	s.at(took+2*stormDelay, func() {
 		s.end(r)
@@ -263,6 +277,23 @@
 	})
 }
 
+// occupy occupies a slot of a target from when one is free, and returns how long that takes.
+func (s *storm) occupy(target string, took time.Duration) time.Duration {
+	if s.freeAt[target] == nil {
+		s.freeAt[target] = make([]time.Time, s.roster.Snapshot().Targets[target].Slots)
+	}
+	slots := s.freeAt[target]
+	next := 0
+	for n, at := range slots {
+		if at.Before(slots[next]) {
+			next = n
+		}
+	}
+	wait := max(slots[next].Sub(s.now), 0)
+	slots[next] = s.now.Add(wait + took)
+	return wait
+}
+
 // toLeader sends an update of a host to the leader.
 func (s *storm) toLeader(host netip.AddrPort, update func(now time.Time)) {
 	s.outgoing[host] = append(s.outgoing[host], update)
@@ -313,7 +344,9 @@
 			update(s.now)
 		}
 	}
-	s.decide(s.now.Sub(batch[0].at))
+	lag := s.now.Sub(batch[0].at)
+	s.b.SetLag(lag)
+	s.decide(lag)
 	s.at(s.cost+time.Duration(s.b.Work()-before)*workCost, ready)
 }
 
@@ -399,6 +432,9 @@
 			for second := range 28 {
 				t.Logf("%2d s: %d of %d in time", second, s.inTime[second], s.asked[second])
 			}
+			for n := range stormRoutes {
+				t.Logf("in the storm, %s class %d: %v", stormRoutes[n].service, stormRoutes[n].class, s.byRoute[&stormRoutes[n]])
+			}
 			t.Logf("%d messages wait, %d requests wait", len(s.inbox), s.b.WaitingCount())
 			assert.Assert(t, before >= 0.9, "served in time before the storm %.2f", before)
 			assert.Assert(t, after >= 0.9*before, "served in time before the storm %.2f, %s after it %.2f", before, maxRecoveryIn, after)
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -138,7 +138,7 @@
 	if t.consecutiveFailures >= ejectAfterFailures && (now.Before(t.ejectedUntil) || t.running > 0) {
 		return false // ejected, or on trial with one request
 	}
-	if t.running >= t.slots(b) || t.notice.Leaving() || t.blockedForAll(now) > 0 {
+	if t.running >= t.places(b) || t.notice.Leaving() || t.blockedForAll(now) > 0 {
 		return false
 	}
 	if now.Before(t.rejectedUntil) && t.running > 0 {
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -260,6 +260,9 @@
 	if c.mesh == nil {
 		return
 	}
+	if !c.batchBegins {
+		c.broker.SetLag(c.lag)
+	}
 	for range 4 {
 		sent := c.flushRequests(now)
 		if !c.flushDecisions(now) && !sent {
