The simulated storm is a tool of its own, and repeats by its seed

core/storm plays what the test of core/broker did, at any size (yuccadoor storm). It goes by their names now (TestPlayRepeats failed before).

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -6,6 +6,7 @@
 package broker
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -320,7 +321,7 @@
 	if b.parts.Refresh(now) {
 		b.crashesChanged(now)
 	}
-	for service := range b.queues {
+	for _, service := range slices.Sorted(maps.Keys(b.queues)) {
 		b.resolveAll(now, service)
 		if now.Sub(b.shedAt[service]) >= time.Duration(len(b.queues[service]))*shedSpacing {
 			b.shedAt[service] = now
@@ -334,7 +335,7 @@
 // call, by host. All changes between two calls are matched at once, so that a leader that
 // has fallen behind spends less on each.
 func (b *Broker) TakeDecisions(now time.Time) (grants map[netip.AddrPort][]Grant, refusals map[netip.AddrPort][]Refusal) {
-	for service := range b.unmatched {
+	for _, service := range slices.Sorted(maps.Keys(b.unmatched)) {
 		b.match(now, service)
 	}
 	clear(b.unmatched)
--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -186,8 +187,8 @@
 		})
 	}
 	b.reportPartChanges(now)
-	for service, queue := range b.queues {
-		b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool {
+	for _, service := range slices.Sorted(maps.Keys(b.queues)) {
+		b.queues[service] = slices.DeleteFunc(b.queues[service], func(q *queuedRequest) bool {
 			refusal, refused := b.crashRefusal(now, q.request)
 			if refused && !q.cancelled {
 				b.returnTokens(q)
--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -22,6 +22,7 @@
 	Serve    serveCommand    `cmd:"" help:"Run an entry host."`
 	Edge     edgeCommand     `cmd:"" help:"Run an entry host on the users' platform."`
 	Replay   replayCommand   `cmd:"" help:"Play a load pattern in virtual time under each policy."`
+	Storm    stormCommand    `cmd:"" help:"Play a storm over a large fleet before one leader, in virtual time."`
 	Soak     soakCommand     `cmd:"" help:"Run hosts as processes on loopback under random faults and check their guarantees."`
 	Check    checkCommand    `cmd:"" help:"Check a configuration file and report every finding."`
 	Status   statusCommand   `cmd:"" help:"Show the status of running hosts."`
