--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -399,18 +399,7 @@
 		if q.cancelled {
 			continue
 		}
-		kind, ordinary := q.searchKey(), !q.hasOwnTargets()
-		if ordinary && fruitless[kind] >= maxFruitless {
-			kept = append(kept, q)
-			continue
-		}
-		var t *target
-		if now.Before(q.expiresAt) && b.mayRun(now, q.request) {
-			blocked := false
-			if t, blocked = b.pickTarget(now, q, free, allowed); t == nil && ordinary && !blocked {
-				fruitless[kind]++
-			}
-		}
+		t := b.findTarget(now, q, free, allowed, fruitless)
 		if t == nil {
 			kept = append(kept, q)
 			continue
--- a/core/broker/pick.go
+++ b/core/broker/pick.go
@@ -48,6 +48,22 @@
 	return free
 }
 
+// findTarget returns an allowed target for a request, or nil. fruitless counts the searches that
+// found none, by kind of request: beyond maxFruitless a kind is not tried again. A request
+// that is bound to particular targets, or whose host backs off from some, says nothing of
+// others of its kind.
+func (b *Broker) findTarget(now time.Time, q *queuedRequest, free []*target, allowed func(time.Time, *queuedRequest, *target) bool, fruitless map[searchKey]int) *target {
+	kind, ordinary := q.searchKey(), !q.hasOwnTargets()
+	if ordinary && fruitless[kind] >= maxFruitless || !now.Before(q.expiresAt) || !b.mayRun(now, q.request) {
+		return nil
+	}
+	t, blocked := b.pickTarget(now, q, free, allowed)
+	if t == nil && ordinary && !blocked {
+		fruitless[kind]++
+	}
+	return t
+}
+
 // pickTarget returns the best of the first free targets that are allowed, or nil. Each
 // request begins at another one. blocked is set if the request's host backs off from one of
 // them.
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -193,7 +193,7 @@
 		delete(t.connectBackoffs, host)
 	}
 	if c.Outcome == Cancelled && c.TimeToFirstPart == 0 && c.Took > silenceTimeout {
-		if t.isLossOfItsOwn(host, onlyHost) {
+		if t.lossCounts(host, onlyHost) {
 			t.consecutiveFailures++
 		}
 		return
@@ -213,17 +213,17 @@
 	case Broken:
 		// A stopped server shows in the next failure to connect. Answers
 		// lost in transit are no reason to back off from a healthy one.
-		if t.isLossOfItsOwn(host, onlyHost) {
+		if t.lossCounts(host, onlyHost) {
 			t.consecutiveFailures++
 			t.failureShare += averageWeight * (1 - t.failureShare)
 		}
 	}
 }
 
-// isLossOfItsOwn records that a host lost an answer, and reports whether that counts against
+// lossCounts records that a host lost an answer, and reports whether that counts against
 // the target: if several hosts lose answers, or there is only one. Otherwise it may be the
 // path of that host.
-func (t *target) isLossOfItsOwn(host netip.AddrPort, onlyHost bool) bool {
+func (t *target) lossCounts(host netip.AddrPort, onlyHost bool) bool {
 	t.lostBy[host] = true
 	return onlyHost || len(t.lostBy) >= minAgreeingHosts
 }
