--- a/core/broker/pace.go
+++ b/core/broker/pace.go
@@ -11,9 +11,9 @@
 	// maxSpacing keeps waiting for the next update short beside the objectives of
 	// requests. At this spacing the number of messages depends on that of the hosts only.
 	maxSpacing = 150 * time.Millisecond
-	// maxLag is the lag that still leaves a request most of its objective; beyond it hosts
-	// refuse a part of the requests in the leader's stead.
-	maxLag = 250 * time.Millisecond
+	// maxLag is half of the shortest time that callers wait for the first event of a stream.
+	// Beyond it hosts refuse a part of the requests in the leader's stead.
+	maxLag = time.Second
 	// lagHalfLife is the time in which the lag counts half if the leader tells of none.
 	lagHalfLife = time.Second
 	// recentRanks is the number of requests by which a request's urgency is compared.
