Hosts of a zone that is cut off ask beyond their zone

Since a host asked one other host only, unless it knew that it was cut off; it knew that once another host had reached a target for it. Where a whole zone is cut off the first that is asked is cut off too, so that it never found out.

Failures to connect to two targets without a success in between now suffice to ask further.

--- a/core/paths/paths.go
+++ b/core/paths/paths.go
@@ -25,7 +25,8 @@
 
 // Paths is one host's knowledge of its paths.
 type Paths struct {
-	broken      map[netip.AddrPort]time.Time // when the direct path to a target last failed
+	broken      map[netip.AddrPort]time.Time // when the direct path to a target last failed that others reach
+	failed      map[netip.AddrPort]bool      // targets that were not reached directly since the last success
 	succeededAt time.Time                    // when a target was last reached directly
 	probedAt    time.Time
 	avoided     map[netip.AddrPort]time.Time // hosts that could not help, and until when
@@ -33,7 +34,7 @@
 
 // New returns the knowledge of a host that has tried no path.
 func New() *Paths {
-	return &Paths{broken: map[netip.AddrPort]time.Time{}, avoided: map[netip.AddrPort]time.Time{}}
+	return &Paths{broken: map[netip.AddrPort]time.Time{}, failed: map[netip.AddrPort]bool{}, avoided: map[netip.AddrPort]time.Time{}}
 }
 
 // TryDirect reports whether a target is to be tried directly before other hosts are asked.
@@ -62,10 +63,18 @@
 	return n >= isolationTargets
 }
 
+// MayBeIsolated reports whether this host has reached no target since it failed at several,
+// whoever else reaches them.
+func (p *Paths) MayBeIsolated() bool { return p.Isolated() || len(p.failed) >= isolationTargets }
+
+// RecordFailure records that a target was not reached directly.
+func (p *Paths) RecordFailure(target netip.AddrPort) { p.failed[target] = true }
+
 // RecordDirect records that a target was reached directly.
 func (p *Paths) RecordDirect(now time.Time, target netip.AddrPort) {
 	p.succeededAt = now
 	delete(p.broken, target)
+	clear(p.failed)
 }
 
 // RecordBroken records that a target was not reached directly, but through another host.
--- a/core/paths/paths_test.go
+++ b/core/paths/paths_test.go
@@ -34,6 +34,17 @@
 	assert.Assert(t, p.TryDirect(now.Add(retryDelay), target(1)))
 }
 
+// Regression test: hosts of a zone that was cut off asked each other only, and never found out.
+func TestHostMayBeIsolatedBeforeOthersReachItsTargets(t *testing.T) {
+	p := New()
+	p.RecordFailure(target(1))
+	assert.Assert(t, !p.MayBeIsolated())
+	p.RecordFailure(target(2))
+	assert.Assert(t, p.MayBeIsolated() && !p.Isolated())
+	p.RecordDirect(start, target(3))
+	assert.Assert(t, !p.MayBeIsolated())
+}
+
 // Hosts that could not help are asked last for a while.
 func TestHostsThatCouldNotHelpGoLast(t *testing.T) {
 	p := New()
--- a/io/detour/detour.go
+++ b/io/detour/detour.go
@@ -73,6 +73,7 @@
 			return conn, nil
 		}
 		direct = err
+		d.update(func(_ time.Time, p *paths.Paths) { p.RecordFailure(target) })
 	}
 	if ctx.Err() != nil {
 		return nil, errors.Wrap(ctx.Err(), "connect directly")
@@ -89,7 +90,7 @@
 	}
 	d.mu.Lock()
 	peers = d.paths.Order(d.settings.Now(), peers, maxHosts)
-	isolated := d.paths.Isolated()
+	isolated := d.paths.MayBeIsolated()
 	d.mu.Unlock()
 	down := 0
 	for _, peer := range peers {
