--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -35,6 +35,7 @@
 	log            string
 	cmd            *exec.Cmd
 	exited         chan struct{}
+	door           *storeDoor
 }
 
 func (h *host) front() string { return address(h.ip, portFront) }
@@ -58,13 +59,15 @@
 		return nil, err
 	}
 	f := &fleet{root: root, folder: folder, net: network}
-	if f.store, err = newStore(address(f.ip(7), portStore)); err != nil {
-		return nil, err
-	}
+	f.store = newStore()
 	for n, zone := range zones {
 		h := &host{name: fmt.Sprintf("edge-%s-%d", zone, n+1), zone: zone, ip: f.ip(20 + n)}
 		h.settings = filepath.Join(folder, h.name+".toml")
 		h.log = filepath.Join(folder, h.name+".log")
+		h.door = &storeDoor{address: address(f.ip(60+n), portStore)}
+		if err := f.store.open(h.door); err != nil {
+			return nil, err
+		}
 		f.hosts = append(f.hosts, h)
 	}
 	for _, h := range f.hosts {
@@ -184,7 +187,7 @@
 value_bytes = 1048576
 ttl_min_ms = 1000
 `, h.name, h.ip, h.zone, portInternal, portInternal+15, strings.Join(seeds, ","), zones,
-		address(h.ip, portFront), address(h.ip, portReady), address(h.ip, portControl), graceSeconds, address(f.ip(7), portStore))
+		address(h.ip, portFront), address(h.ip, portReady), address(h.ip, portControl), graceSeconds, h.door.address)
 }
 
 // start starts a host with the command of the deploy file.
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -55,6 +55,7 @@
 	"stray-bytes":    strayBytes,
 	"carrier-killed": carrierKilled,
 	"silent-crash":   silentCrash,
+	"readers-cut":    readersCut,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -205,8 +205,13 @@
 	apiKey   = "i9n73hh2b9wu3fexd9dn"
 )
 
-// putConfig writes the operator's configuration.
+// putConfig writes the operator's first configuration.
 func putConfig(st *store, services []any, routes ...route) {
+	putVersion(st, 7, []string{apiKey}, services, routes...)
+}
+
+// putVersion writes a version of the operator's configuration.
+func putVersion(st *store, version int, keys []string, services []any, routes ...route) {
 	var all []any
 	for n, r := range routes {
 		all = append(all, map[string]any{
@@ -216,9 +221,9 @@
 		})
 	}
 	st.put("op/config", map[string]any{
-		"version": 7, "routes": all, "services": services,
+		"version": version, "routes": all, "services": services,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": tenant, "api_keys": []string{apiKey}, "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": 99575, "burst": 99575}},
+		"tenants": []any{map[string]any{"name": tenant, "api_keys": keys, "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": 99575, "burst": 99575}},
 	})
 }
 
@@ -236,6 +241,11 @@
 
 // send sends a request on a new channel, as a client does.
 func send(front, method, path, id, body string, wait time.Duration) reply {
+	return sendWith(apiKey, front, method, path, id, body, wait)
+}
+
+// sendWith sends a request with an API key of the caller's.
+func sendWith(key, front, method, path, id, body string, wait time.Duration) reply {
 	c, err := net.DialTimeout("tcp", front, time.Second)
 	if err != nil {
 		return reply{err: err}
@@ -243,7 +253,7 @@
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(wait))
 	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Yuccadoor-Request-Id: %s\r\nX-Yuccadoor-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, hostName, id, wait.Milliseconds(), apiKey, len(body), body)
+		method, path, hostName, id, wait.Milliseconds(), key, len(body), body)
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return reply{err: err}
--- a/review/stand/silent.go
+++ b/review/stand/silent.go
@@ -28,10 +28,9 @@
 
 // machine is the machine of a server: each start of the server is a new lifetime.
 type machine struct {
-	server   *server
-	starts   int
-	dark     atomic.Bool
-	answered atomic.Int64
+	server *server
+	starts int
+	dark   atomic.Bool
 }
 
 // silentCrash: an order crashes each server that begins to run it. The server's machine goes
@@ -72,7 +71,6 @@
 			}
 			text := "order " + id + " placed\n"
 			_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Yuccadoor-Request-Id: %s\r\nX-Yuccadoor-Server-Stamp: %s\r\nKeep-Alive: timeout=5\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", id, s.stamp(id), len(text), text)
-			m.answered.Add(1)
 			return err == nil
 		}
 		m.newLifetime(n)
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -32,19 +32,82 @@
 
 const storePage = 500
 
-// newStore serves a store at an address.
-func newStore(address string) (*store, error) {
-	l, err := net.Listen("tcp", address)
+// newStore returns an empty store.
+func newStore() *store {
+	return &store{items: map[string]item{}, revision: 1, changed: make(chan struct{})}
+}
+
+// storeDoor is the address at which one host reaches the store. While it is cut, the host's
+// calls are neither done nor answered, as on a path that drops what is sent.
+type storeDoor struct {
+	address string
+	mu      sync.Mutex
+	cut     chan struct{} // closed when the cut ends; nil while there is none
+	watched time.Time     // of the last call of kv-watch
+}
+
+// open serves the store at a door.
+func (s *store) open(d *storeDoor) error {
+	l, err := net.Listen("tcp", d.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	s := &store{items: map[string]item{}, revision: 1, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /yuccadoor/kv-key", s.get)
 	mux.HandleFunc("GET /yuccadoor/kv-range", s.list)
 	mux.HandleFunc("GET /yuccadoor/kv-watch", s.watch)
-	go func() { _ = http.Serve(l, mux) }()
-	return s, nil
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.mu.Lock()
+		cut := d.cut
+		if r.URL.Path == "/yuccadoor/kv-watch" {
+			d.watched = time.Now()
+		}
+		d.mu.Unlock()
+		if cut != nil {
+			<-r.Context().Done()
+			return
+		}
+		mux.ServeHTTP(&doorWriter{ResponseWriter: w, door: d, gone: r.Context().Done()}, r)
+	})
+	go func() { _ = http.Serve(l, handler) }()
+	return nil
+}
+
+// doorWriter sends nothing while its door is cut: the answer is lost on the way.
+type doorWriter struct {
+	http.ResponseWriter
+	door *storeDoor
+	gone <-chan struct{}
+}
+
+func (w *doorWriter) WriteHeader(status int) {
+	w.door.mu.Lock()
+	cut := w.door.cut
+	w.door.mu.Unlock()
+	if cut != nil {
+		<-w.gone
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// set begins or ends a cut of the door.
+func (d *storeDoor) set(cut bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case cut && d.cut == nil:
+		d.cut = make(chan struct{})
+	case !cut && d.cut != nil:
+		close(d.cut)
+		d.cut = nil
+	}
+}
+
+// isWatched reports whether the host behind the door has watched the store lately.
+func (d *storeDoor) isWatched() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.watched) < 2*time.Second
 }
 
 // put writes a value as JSON under a key.
--- a/review/stand/stray.go
+++ b/review/stand/stray.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,9 @@
 	strayEvery = 50
 	// strayBytes is the beginning of an answer that belongs to no request.
 	strayText = "HTTP/1.1 503 Service Unavailable\r\nX-Yuccadoor-Not-Executed: 1\r\nDate: Sat, 05 De"
+	// straySuccess is the same of an answer that says success; the true answer after it is
+	// the server's own 500. Used with HOW=failure.
+	straySuccess = "HTTP/1.1 200 OK\r\nDate: Sat, 05 De"
 )
 
 // strayBytes: a faulty server sends bytes that belong to no request where the answer to the
@@ -28,7 +32,9 @@
 	if err != nil {
 		return false, err
 	}
+	failure := os.Getenv("HOW") == "failure"
 	var answers atomic.Int64
+	var falsified sync.Map // ids of orders that the faulty server has answered with 500
 	answer := func(faulty bool) func(*server, net.Conn, *http.Request, []byte, int) bool {
 		return func(s *server, w net.Conn, r *http.Request, _ []byte, n int) bool {
 			id := r.Header.Get("X-Yuccadoor-Request-Id")
@@ -39,9 +45,13 @@
 				stray = strayText
 				s.record.add("%s  sends stray bytes before its answer to %s", s.id, id)
 			}
-			body := "order " + id + " placed\n"
-			_, err := fmt.Fprintf(w, "%sHTTP/1.1 200 OK\r\nX-Yuccadoor-Request-Id: %s\r\nX-Yuccadoor-Server-Stamp: %s\r\nX-Yuccadoor-Server-Load: 1,0,6\r\nKeep-Alive: timeout=5\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
-				stray, id, s.stamp(id), len(body), body)
+			body, status := "order "+id+" placed\n", "200 OK"
+			if stray != "" && failure {
+				stray, body, status = straySuccess, "order "+id+" failed\n", "500 Internal Server Error"
+				falsified.Store(id, true)
+			}
+			_, err := fmt.Fprintf(w, "%sHTTP/1.1 %s\r\nX-Yuccadoor-Request-Id: %s\r\nX-Yuccadoor-Server-Stamp: %s\r\nX-Yuccadoor-Server-Load: 1,0,6\r\nKeep-Alive: timeout=5\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
+				stray, status, id, s.stamp(id), len(body), body)
 			return err == nil
 		}
 	}
@@ -61,6 +71,7 @@
 
 	var ids []string
 	var sending sync.WaitGroup
+	var mixed atomic.Int64
 	n := 0
 	for end := time.Now().Add(orderLength); time.Now().Before(end); time.Sleep(orderInterval) {
 		for _, h := range f.hosts {
@@ -71,6 +82,10 @@
 				e.record.add("client  sends %s to %s", id, h.name)
 				r := send(h.front(), http.MethodPost, "/order/2f", id, "roll", 1500*time.Millisecond)
 				e.record.add("client  gets %d for %s, stamp %q, error %v", r.status, id, r.stamp, r.err)
+				if _, failed := falsified.Load(id); failed && r.status == http.StatusOK {
+					mixed.Add(1)
+					e.record.add("MIXED: the server answered %s with 500, and the client gets 200 with its stamp: %q", id, r.body)
+				}
 			})
 		}
 	}
@@ -92,5 +107,8 @@
 	if served < len(ids)*9/10 {
 		return false, fmt.Errorf("only %d of %d orders ran", served, len(ids))
 	}
-	return twice > 0, nil
+	if failure {
+		fmt.Printf("%d failures of the server reached the client as successes\n", mixed.Load())
+	}
+	return twice > 0 || mixed.Load() > 0, nil
 }
