--- a/review/stand/carrier.go
+++ b/review/stand/carrier.go
@@ -58,7 +58,7 @@
 		s.record.add("%s  has written all %d pieces of %s", s.id, pieces, id)
 		return false
 	}
-	if err := s.listen(address(f.serverIP(), portServer), 0); err != nil {
+	if err := s.listen(f.serverAddress(), 0); err != nil {
 		return false, err
 	}
 	putConfig(f.store, []any{plainService("llm")},
--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -21,10 +21,14 @@
 	portInternal = 7600
 	portAdmin    = 9464
 	portStore    = 8225
-	portServer   = 8080
 	graceSeconds = 8
+	portStep     = 40 // between the ports of two tries
+	tries        = 50
 )
 
+// portShift is added to all ports but that of the deploy file, so that free ones are found.
+var portShift int
+
 // deployRun is the command of the role in the deploy file.
 var deployRun = []string{"target/yuccadoor", "edge", "--admin-port", "9464"}
 
@@ -40,7 +44,7 @@
 
 func (h *host) front() string { return address(h.ip, portFront) }
 
-func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port+portShift) }
 
 // fleet is a set of hosts with their store.
 type fleet struct {
@@ -80,21 +84,27 @@
 
 func (f *fleet) ip(n int) string { return fmt.Sprintf("%s.%d", f.net, n) }
 
-// serverIP returns a new loopback address for a server.
-func (f *fleet) serverIP() string {
+// serverAddress returns a new loopback address for a server, with a port that is free.
+func (f *fleet) serverAddress() string {
 	f.names++
-	return f.ip(100 + f.names)
+	return f.ip(100+f.names) + ":0"
 }
 
 // freeNetwork finds loopback addresses on which all ports of the hosts are free.
 func freeNetwork(hosts int) (string, error) {
-	for try := range 50 {
+	for try := range tries {
+		portShift = portStep * try
 		n := os.Getpid() + 7919*try
 		network := fmt.Sprintf("127.%d.%d", 100+n/200%100, 1+n%200)
 		free := true
 		for h := range hosts {
-			for _, port := range []int{portFront, portReady, portControl, portInternal, portAdmin} {
-				l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, 20+h, port))
+			ip := fmt.Sprintf("%s.%d", network, 20+h)
+			all := []string{fmt.Sprintf("%s:%d", ip, portAdmin)}
+			for _, port := range []int{portFront, portReady, portControl, portInternal, portStore} {
+				all = append(all, address(ip, port))
+			}
+			for _, a := range all {
+				l, err := net.Listen("tcp", a)
 				if err != nil {
 					free = false
 					continue
@@ -106,7 +116,7 @@
 			return network, nil
 		}
 	}
-	return "", fmt.Errorf("no free loopback addresses")
+	return "", fmt.Errorf("no free loopback addresses and ports")
 }
 
 // settingsFile returns a host's settings with the figures of the small sites.
@@ -186,7 +196,7 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, h.name, h.ip, h.zone, portInternal, portInternal+15, strings.Join(seeds, ","), zones,
+`, h.name, h.ip, h.zone, portInternal+portShift, portInternal+portShift+15, strings.Join(seeds, ","), zones,
 		address(h.ip, portFront), address(h.ip, portReady), address(h.ip, portControl), graceSeconds, h.door.address)
 }
 
--- a/review/stand/readers.go
+++ b/review/stand/readers.go
@@ -42,7 +42,7 @@
 	var servers []*server
 	for n, service := range []string{"desk", "desk", "desk", "shop", "shop", "shop"} {
 		s := &server{id: fmt.Sprintf("i-7f3a91c%d", n), service: service, zone: []string{"bangna", "samut", "lat-krabang"}[n%3], slots: 6, record: e.record, answer: answer}
-		if err := s.listen(address(f.serverIP(), portServer), -1); err != nil {
+		if err := s.listen(f.serverAddress(), -1); err != nil {
 			return false, err
 		}
 		servers = append(servers, s)
--- a/review/stand/silent.go
+++ b/review/stand/silent.go
@@ -76,7 +76,7 @@
 		m.newLifetime(n)
 		// The queue of new channels is short, so that it can be filled: a dark machine
 		// takes no channels and refuses none.
-		if err := m.server.listen(address(f.serverIP(), portServer), 0); err != nil {
+		if err := m.server.listen(f.serverAddress(), 0); err != nil {
 			return false, err
 		}
 		machines = append(machines, m)
--- a/review/stand/stray.go
+++ b/review/stand/stray.go
@@ -58,7 +58,7 @@
 	one := &server{id: "i-7f3a91c2", service: "desk", zone: "bangna", slots: 6, record: e.record, answer: answer(true)}
 	two := &server{id: "i-02d9e6b4", service: "desk", zone: "samut", slots: 6, record: e.record, answer: answer(false)}
 	for _, s := range []*server{one, two} {
-		if err := s.listen(address(f.serverIP(), portServer), -1); err != nil {
+		if err := s.listen(f.serverAddress(), -1); err != nil {
 			return false, err
 		}
 	}
