--- a/review/stand/carrier.go
+++ b/review/stand/carrier.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -14,6 +15,9 @@
 	carrierRounds = 4
 	pieces        = 24
 	pieceInterval = 100 * time.Millisecond
+	// longInterval is the interval with HOW=term: the answers outlast the grace of the host
+	// that is stopped.
+	longInterval = 450 * time.Millisecond
 	// queueFull is how long the server takes no new channel while its queue of new channels
 	// is full.
 	queueFull = 100 * time.Millisecond
@@ -39,6 +43,11 @@
 	if err != nil {
 		return false, err
 	}
+	// With HOW=term the other host is stopped by SIGTERM instead, as in planned work.
+	stop, interval, timeout := syscall.SIGKILL, pieceInterval, 8*time.Second
+	if os.Getenv("HOW") == "term" {
+		stop, interval, timeout = syscall.SIGTERM, longInterval, 15*time.Second
+	}
 	s := &server{id: "i-7f3a91c2", service: "llm", zone: "bangna", slots: 4, record: e.record}
 	s.answer = func(s *server, w net.Conn, r *http.Request, _ []byte, _ int) bool {
 		id := r.Header.Get("X-Yuccadoor-Request-Id")
@@ -49,7 +58,7 @@
 		}
 		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Yuccadoor-Request-Id: %s\r\nX-Yuccadoor-Server-Stamp: %s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n", id, s.stamp(id), kind)
 		for n := 1; n <= pieces; n++ {
-			time.Sleep(pieceInterval)
+			time.Sleep(interval)
 			if _, err := fmt.Fprint(w, event(id, n)); err != nil {
 				s.record.add("%s  cannot write piece %d of %s: %v", s.id, n, id, err)
 				return false
@@ -62,8 +71,8 @@
 		return false, err
 	}
 	putConfig(f.store, []any{plainService("llm")},
-		route{prefix: "/review/", kind: "stream", service: "llm", timeoutMs: 8000, goalMs: 800, attempts: 1, gapGoalMs: 500},
-		route{prefix: "/look/", kind: "safe", service: "llm", timeoutMs: 8000, goalMs: 800, attempts: 2})
+		route{prefix: "/review/", kind: "stream", service: "llm", timeoutMs: int(timeout.Milliseconds()), goalMs: 800, attempts: 1, gapGoalMs: 500},
+		route{prefix: "/look/", kind: "safe", service: "llm", timeoutMs: int(timeout.Milliseconds()), goalMs: 800, attempts: 2})
 	publish(f.store, s)
 	if err := f.startAll(); err != nil {
 		return false, err
@@ -90,14 +99,14 @@
 		var r reply
 		var sending sync.WaitGroup
 		e.record.add("client  sends %s (%s) to %s", id, path, one.name)
-		sending.Go(func() { r = send(one.front(), http.MethodPost, path, id, "text", 8*time.Second) })
+		sending.Go(func() { r = send(one.front(), http.MethodPost, path, id, "text", timeout) })
 		time.Sleep(queueFull)
 		resume()
 		if e.trouble {
 			e.record.add("server  takes new channels again")
 			time.Sleep(killAfter - queueFull)
-			e.record.add("kill  %s", other.name)
-			other.signal(syscall.SIGKILL)
+			e.record.add("signal  %v to %s", stop, other.name)
+			other.signal(stop)
 		}
 		sending.Wait()
 		whole := r.body == wholeStream(id)
