--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -20,7 +20,7 @@
 // play plays a case, with the disruption or without it. It returns what broke the rule.
 type play func(f *fleet, trouble bool) (broken []string, err error)
 
-var cases = map[string]play{"truncated": playTruncated, "leader-kill": playLeaderKill, "zone-loss": playZoneLoss, "leaving": playLeaving}
+var cases = map[string]play{"truncated": playTruncated, "leader-kill": playLeaderKill, "zone-loss": playZoneLoss, "leaving": playLeaving, "stray": playStray}
 
 func main() {
 	if len(os.Args) == 3 && os.Args[1] == "server" {
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -34,6 +34,8 @@
 	Piece   time.Duration `json:"piece"`   // between two pieces of an answer
 	Framed  bool          `json:"framed"`  // answers have a length or chunks; else they end with their channel
 	Started int64         `json:"started"` // Unix milliseconds
+	Raw     bool          `json:"raw"`     // see serveRaw
+	Stray   float64       `json:"stray"`   // share of the answers that stray bytes precede
 }
 
 // serverRecord is a line that a server writes when it begins to run a request, and when it has
@@ -70,6 +72,9 @@
 	if err != nil {
 		return err
 	}
+	if s.spec.Raw {
+		return s.serveRaw(l)
+	}
 	h := &http.Server{Handler: s}
 	leave := make(chan os.Signal, 1)
 	signal.Notify(leave, syscall.SIGTERM)
