--- a/review/stand2/truncated.go
+++ b/review/stand2/truncated.go
@@ -12,8 +12,10 @@
 // Figures of the case in which servers crash within answers that end with their channel.
 const (
 	truncatedLength = 90 * time.Second
-	crashEvery      = 2 * time.Second
-	crashDowntime   = 4 * time.Second
+	// Of so many engines at most a quarter is down at once.
+	truncatedEngines = 12
+	crashEvery       = 2 * time.Second
+	crashDowntime    = 4 * time.Second
 	// Streams and orders begin so often, over all clients.
 	streamEvery = 25 * time.Millisecond
 	orderEvery  = 50 * time.Millisecond
@@ -28,9 +30,9 @@
 	}, 4)
 	zones := []string{"a", "b", "c"}
 	var servers []*serverProcess
-	for i := range 15 {
+	for i := range truncatedEngines + 3 {
 		spec := serverSpec{Service: "loom-llm", Zone: zones[i%3], Version: "v1", Slots: 4, Queue: 24, Piece: 40 * time.Millisecond}
-		if i >= 12 {
+		if i >= truncatedEngines {
 			spec.Service, spec.Slots, spec.Piece = "order-desk", 6, 10*time.Millisecond
 		}
 		s, err := f.startServer(spec)
@@ -52,12 +54,15 @@
 		if !trouble {
 			continue
 		}
-		s := servers[n%len(servers)]
+		index := n % truncatedEngines
+		c.mu.Lock()
+		s := servers[index]
+		c.mu.Unlock()
 		f.crash(s)
-		spec := s.spec
-		index := n % len(servers)
 		time.AfterFunc(crashDowntime, func() {
-			if next, err := f.startServer(spec); err == nil {
+			if next, err := f.startServer(s.spec); err == nil {
+				c.mu.Lock()
+				defer c.mu.Unlock()
 				servers[index] = next
 			}
 		})
