Review: the stand-ins start nothing once a case has ended

Cause: a host that was to start again a while after its end could be started while the case ended its processes; a trial that is no case left one running. What is being started is now awaited first.

--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -47,8 +48,10 @@
 	servers []*serverProcess // guarded by mu
 	runs    []serverRecord   // guarded by mu
 	lines   []string         // guarded by mu; the record of the case
-	ended   bool             // guarded by mu
-	next    int              // guarded by mu; number of the next server
+	ended   bool             // guarded by mu; nothing is started any more
+	// starting counts the processes that are being started.
+	starting sync.WaitGroup
+	next     int // guarded by mu; number of the next server
 }
 
 // host is an entry host.
@@ -100,11 +103,16 @@
 func (f *fleet) end() {
 	f.mu.Lock()
 	f.ended = true
+	f.mu.Unlock()
+	f.starting.Wait()
+	f.mu.Lock()
 	hosts, servers := slices.Clone(f.hosts), slices.Clone(f.servers)
 	f.mu.Unlock()
 	for _, h := range hosts {
-		_ = h.cmd.Process.Kill()
-		<-h.exited
+		if h.cmd != nil {
+			_ = h.cmd.Process.Kill()
+			<-h.exited
+		}
 	}
 	for _, s := range servers {
 		_ = s.cmd.Process.Kill()
@@ -112,6 +120,17 @@
 	}
 }
 
+// begin counts a process that is to be started, unless all are to end.
+func (f *fleet) begin() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended {
+		return errors.New("the case has ended")
+	}
+	f.starting.Add(1)
+	return nil
+}
+
 // note adds a line to the record.
 func (f *fleet) note(format string, args ...any) {
 	f.mu.Lock()
@@ -235,6 +254,10 @@
 
 // startHost starts a host with the command of the deploy file.
 func (f *fleet) startHost(h *host) error {
+	if err := f.begin(); err != nil {
+		return err
+	}
+	defer f.starting.Done()
 	log, err := os.OpenFile(filepath.Join(f.dir, h.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -335,18 +358,17 @@
 	_ = h.cmd.Process.Kill()
 	<-h.exited
 	time.AfterFunc(downtime, func() {
-		f.mu.Lock()
-		ended := f.ended
-		f.mu.Unlock()
-		if !ended {
-			f.note("host %s starts", h.name)
-			_ = f.startHost(h)
-		}
+		f.note("host %s starts", h.name)
+		_ = f.startHost(h)
 	})
 }
 
 // startServer starts a server and has it registered.
 func (f *fleet) startServer(spec serverSpec) (*serverProcess, error) {
+	if err := f.begin(); err != nil {
+		return nil, err
+	}
+	defer f.starting.Done()
 	if spec.Address == "" {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
