A reset while the request is written breaks an unframed response

Callers got a part of a response as a complete one: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection.

Cause: the kernel reports a reset once, to the first system call that meets it. A long request is written by a goroutine of its own; when its write got the reset, the read of the response got an end in order, which is how a response without a length or chunks ends.

A read gets an orderly end in place of the reset only if a write has returned the reset, so that waiting for the write tells both. Responses with a length or chunks are as before.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -155,15 +155,16 @@
 	// told from an orderly close by a target that stops within it.
 	Unframed bool
 
-	sender      *Sender
-	call        *Call
-	conn        *conns.PooledConn
-	resp        *http.Response
-	bodyWritten chan error // result of writing the request body concurrently; nil otherwise
-	stopCancel  func() bool
-	events      *bufio.Reader
-	buffered    int64 // bytes of the body in memory
-	complete    bool  // the body has been read to its end
+	sender     *Sender
+	call       *Call
+	conn       *conns.PooledConn
+	resp       *http.Response
+	body       io.Reader
+	upload     *upload // nil if the request was written before the response was read
+	stopCancel func() bool
+	events     *bufio.Reader
+	buffered   int64 // bytes of the body in memory
+	complete   bool  // the body has been read to its end
 }
 
 // Send sends a call and reads the header of the response.
@@ -222,11 +223,7 @@
 	if n, err := r.conn.Conn.Write(header); err != nil {
 		return n > 0, err
 	}
-	r.bodyWritten = make(chan error, 1)
-	go func() {
-		_, err := r.conn.Conn.Write(r.call.Body)
-		r.bodyWritten <- err
-	}()
+	r.upload = startUpload(r.conn.Conn, r.call.Body)
 	return true, nil
 }
 
@@ -278,9 +275,12 @@
 				return errors.Wrap(err, "skip the response for another request")
 			}
 		}
-		r.resp = resp
+		r.resp, r.body = resp, resp.Body
 		r.Status, r.Header = resp.StatusCode, resp.Header
 		r.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+		if r.Unframed && r.upload != nil {
+			r.body = &uploadChecker{resp.Body, r.upload}
+		}
 		r.Stream = strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
 		r.NotRun = resp.Header.Get(r.sender.names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 		return nil
@@ -333,7 +333,7 @@
 // Read implements io.Reader.
 func (b bufferedBody) Read(p []byte) (int, error) {
 	r := b.response
-	n, err := r.resp.Body.Read(p)
+	n, err := r.body.Read(p)
 	r.buffered += int64(n)
 	if r.sender.buffered.Add(int64(n)) > maxBufferedBytes && r.buffered > guaranteedBytes {
 		return n, errors.Errorf("over %d bytes of responses are buffered", maxBufferedBytes)
@@ -354,7 +354,7 @@
 // announced, between two events; see ConfirmEnd if it is unframed.
 func (r *Response) NextEvent(buffer []byte) (Event, error) {
 	if r.events == nil {
-		r.events = bufio.NewReader(r.resp.Body)
+		r.events = bufio.NewReader(r.body)
 	}
 	e := Event{Raw: buffer[:0]}
 	for {
@@ -416,26 +416,13 @@
 // same request.
 func (r *Response) Close() {
 	r.sender.buffered.Add(-r.buffered)
-	if !r.stopCancel() || !r.complete || r.NotRun || r.resp.Close || !r.bodySent() || r.conn.Reader.Buffered() > 0 {
+	if !r.stopCancel() || !r.complete || r.NotRun || r.resp.Close || !r.upload.written() || r.conn.Reader.Buffered() > 0 {
 		r.conn.Conn.Close()
 		return
 	}
 	r.sender.pool.Put(r.call.Target, r.conn, announcedIdleTimeout(r.Header))
 }
 
-// bodySent reports whether the whole request body has been written.
-func (r *Response) bodySent() bool {
-	if r.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-r.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // announcedIdleTimeout returns how long the target keeps an idle connection open, from
 // its Keep-Alive header, minus idleMargin.
 func announcedIdleTimeout(h http.Header) time.Duration {
--- /dev/null
+++ b/io/relay/reset_test.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"yuccadoor/io/canned"
+)
+
+// Regression guard: the kernel reports a reset once, and the goroutine that wrote the request got
+// it. To the reader, the part of the response that had arrived seemed to end in order.
+func TestResetWhileARequestIsWrittenBreaksAnUnframedResponse(t *testing.T) {
+	const (
+		calls   = 20 // of each row
+		some    = 200 << 10
+		ok      = "HTTP/1.1 200 OK\r\nX-Id: q\r\nX-Stamp: s\r\n"
+		part    = ok + "\r\npart"
+		events  = ok + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: one\n\n"
+		failed  = "HTTP/1.1 500 Internal Server Error\r\nX-Id: q\r\nX-Stamp: s\r\n\r\npart"
+		length  = ok + "Connection: close\r\nContent-Length: 4\r\n\r\npart"
+		chunked = ok + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"
+	)
+	request := make([]byte, 8<<20) // more than the sockets hold
+	for _, c := range []struct {
+		name     string
+		response canned.Response
+		whole    bool
+	}{
+		{"reset at once", canned.Response{Text: part, End: canned.Reset}, false},
+		{"reset after 1 ms", canned.Response{Text: part, Pause: time.Millisecond, End: canned.Reset}, false},
+		{"reset after 5 ms", canned.Response{Text: part, Pause: 5 * time.Millisecond, End: canned.Reset}, false},
+		{"some read, reset at once", canned.Response{Text: part, ReadBytes: some, End: canned.Reset}, false},
+		{"some read, reset after 1 ms", canned.Response{Text: part, ReadBytes: some, Pause: time.Millisecond, End: canned.Reset}, false},
+		{"some read, reset after 5 ms", canned.Response{Text: part, ReadBytes: some, Pause: 5 * time.Millisecond, End: canned.Reset}, false},
+		{"all read, reset at once", canned.Response{Text: part, ReadBytes: 8 << 20, End: canned.Reset}, false},
+		{"closed, request unread", canned.Response{Text: part, Pause: time.Millisecond, End: canned.Closed}, false},
+		{"failure, reset", canned.Response{Text: failed, Pause: time.Millisecond, End: canned.Reset}, false},
+		{"stream, reset", canned.Response{Text: events, Pause: time.Millisecond, End: canned.Reset}, false},
+		{"stream, some read, reset", canned.Response{Text: events, ReadBytes: some, Pause: time.Millisecond, End: canned.Reset}, false},
+		{"length, reset", canned.Response{Text: length, Pause: time.Millisecond, End: canned.Reset}, true},
+		{"length, request read later", canned.Response{Text: length, Pause: time.Millisecond, End: canned.Drained}, true},
+		{"chunks, reset", canned.Response{Text: chunked, Pause: time.Millisecond, End: canned.Reset}, true},
+		{"chunks, request read later", canned.Response{Text: chunked, Pause: time.Millisecond, End: canned.Drained}, true},
+		{"ended, request read later", canned.Response{Text: part, Pause: time.Millisecond, End: canned.Drained}, true},
+		{"stream ended, request read later", canned.Response{Text: events, Pause: time.Millisecond, End: canned.Drained}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			target, stop, err := canned.New(t.Context(), netip.MustParseAddr("127.0.0.1"), func(*http.Request) canned.Response { return c.response })
+			assert.NilError(t, err)
+			defer stop()
+			s, cleanup := New(t.Context(), names, nil, time.Now)
+			defer cleanup()
+			wrong := 0
+			for range calls {
+				if err = callOnce(t.Context(), s, target.Address, request); (err == nil) != c.whole {
+					wrong++
+				}
+			}
+			assert.Equal(t, wrong, 0, "of %d calls; the last one: %v", calls, err)
+		})
+	}
+}
+
+// callOnce makes one call and reads its response to the confirmed end.
+func callOnce(ctx context.Context, s *Sender, target netip.AddrPort, body []byte) error {
+	response, sendErr := s.Send(ctx, &Call{Target: target, Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, ID: "q", Body: body})
+	if sendErr != nil {
+		return sendErr
+	}
+	defer response.Close()
+	if !response.Stream {
+		if _, err := response.ReadBody(); err != nil {
+			return err
+		}
+		return response.ConfirmEnd(ctx)
+	}
+	var e Event
+	for {
+		var err error
+		if e, err = response.NextEvent(e.Raw); err == io.EOF {
+			return response.ConfirmEnd(ctx)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
