An orderly end with a reset after it breaks an unframed response

Callers got a part of a response as a complete one: a server ended its side in order within a response without a length, before all of a long request had arrived, and reset the connection a moment later.

Cause: the whole request had been written, to the system's buffers. The rest on its way to the server brought the reset after the end of the response had been read.

Change: at the end of such a response the host waits until the server's system has acknowledged the whole request (io/conns AwaitAcknowledged). A server that ends its connection with the rest on its way answers that with a reset; one that has got the request, or reads on, acknowledges it. The state of the socket tells both, and the former is often so at once.

--- a/io/canned/canned.go
+++ b/io/canned/canned.go
@@ -29,6 +29,8 @@
 	Reset   End = "Reset"   // with a reset
 	Drained End = "Drained" // in order, and the rest of the request is read after that
 	Open    End = "Open"    // the next request on the connection is answered
+	// Late is in order, with a reset after another pause.
+	Late End = "Late"
 )
 
 // Response is what a target does with a request.
@@ -108,6 +110,11 @@
 			_ = conn.CloseWrite()
 			_, _ = io.Copy(io.Discard, request.Body)
 			return
+		case Late:
+			_ = conn.CloseWrite()
+			time.Sleep(response.Pause)
+			_ = conn.SetLinger(0)
+			return
 		case Open:
 			_, _ = io.Copy(io.Discard, request.Body)
 		default:
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -279,7 +279,7 @@
 		r.Status, r.Header = resp.StatusCode, resp.Header
 		r.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		if r.Unframed && r.upload != nil {
-			r.body = &uploadChecker{resp.Body, r.upload}
+			r.body = &uploadChecker{body: resp.Body, upload: r.upload}
 		}
 		r.Stream = strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
 		r.NotRun = resp.Header.Get(r.sender.names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
--- a/io/relay/reset_test.go
+++ b/io/relay/reset_test.go
@@ -26,29 +26,34 @@
 		length  = ok + "Connection: close\r\nContent-Length: 4\r\n\r\npart"
 		chunked = ok + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"
 	)
-	request := make([]byte, 8<<20) // more than the sockets hold
+	long := make([]byte, 8<<20) // more than the sockets hold
+	short := long[:512<<10]     // more than a target's socket holds
 	for _, c := range []struct {
 		name     string
+		request  []byte
 		response canned.Response
 		whole    bool
 	}{
-		{"reset at once", canned.Response{Text: part, End: canned.Reset}, false},
-		{"reset after 1 ms", canned.Response{Text: part, Pause: time.Millisecond, End: canned.Reset}, false},
-		{"reset after 5 ms", canned.Response{Text: part, Pause: 5 * time.Millisecond, End: canned.Reset}, false},
-		{"some read, reset at once", canned.Response{Text: part, ReadBytes: some, End: canned.Reset}, false},
-		{"some read, reset after 1 ms", canned.Response{Text: part, ReadBytes: some, Pause: time.Millisecond, End: canned.Reset}, false},
-		{"some read, reset after 5 ms", canned.Response{Text: part, ReadBytes: some, Pause: 5 * time.Millisecond, End: canned.Reset}, false},
-		{"all read, reset at once", canned.Response{Text: part, ReadBytes: 8 << 20, End: canned.Reset}, false},
-		{"closed, request unread", canned.Response{Text: part, Pause: time.Millisecond, End: canned.Closed}, false},
-		{"failure, reset", canned.Response{Text: failed, Pause: time.Millisecond, End: canned.Reset}, false},
-		{"stream, reset", canned.Response{Text: events, Pause: time.Millisecond, End: canned.Reset}, false},
-		{"stream, some read, reset", canned.Response{Text: events, ReadBytes: some, Pause: time.Millisecond, End: canned.Reset}, false},
-		{"length, reset", canned.Response{Text: length, Pause: time.Millisecond, End: canned.Reset}, true},
-		{"length, request read later", canned.Response{Text: length, Pause: time.Millisecond, End: canned.Drained}, true},
-		{"chunks, reset", canned.Response{Text: chunked, Pause: time.Millisecond, End: canned.Reset}, true},
-		{"chunks, request read later", canned.Response{Text: chunked, Pause: time.Millisecond, End: canned.Drained}, true},
-		{"ended, request read later", canned.Response{Text: part, Pause: time.Millisecond, End: canned.Drained}, true},
-		{"stream ended, request read later", canned.Response{Text: events, Pause: time.Millisecond, End: canned.Drained}, true},
+		{"reset at once", long, canned.Response{Text: part, End: canned.Reset}, false},
+		{"reset after 1 ms", long, canned.Response{Text: part, Pause: time.Millisecond, End: canned.Reset}, false},
+		{"reset after 5 ms", long, canned.Response{Text: part, Pause: 5 * time.Millisecond, End: canned.Reset}, false},
+		{"some read, reset at once", long, canned.Response{Text: part, ReadBytes: some, End: canned.Reset}, false},
+		{"some read, reset after 1 ms", long, canned.Response{Text: part, ReadBytes: some, Pause: time.Millisecond, End: canned.Reset}, false},
+		{"some read, reset after 5 ms", long, canned.Response{Text: part, ReadBytes: some, Pause: 5 * time.Millisecond, End: canned.Reset}, false},
+		{"all read, reset at once", long, canned.Response{Text: part, ReadBytes: 8 << 20, End: canned.Reset}, false},
+		{"closed, request unread", long, canned.Response{Text: part, Pause: time.Millisecond, End: canned.Closed}, false},
+		{"ended, reset later", long, canned.Response{Text: part, Pause: time.Millisecond, End: canned.Late}, false},
+		{"ended, reset later, request written", short, canned.Response{Text: part, Pause: 5 * time.Millisecond, End: canned.Late}, false},
+		{"failure, reset", long, canned.Response{Text: failed, Pause: time.Millisecond, End: canned.Reset}, false},
+		{"stream, reset", long, canned.Response{Text: events, Pause: time.Millisecond, End: canned.Reset}, false},
+		{"stream, some read, reset", long, canned.Response{Text: events, ReadBytes: some, Pause: time.Millisecond, End: canned.Reset}, false},
+		{"request written, reset after 5 ms", short, canned.Response{Text: part, Pause: 5 * time.Millisecond, End: canned.Reset}, false},
+		{"length, reset", long, canned.Response{Text: length, Pause: time.Millisecond, End: canned.Reset}, true},
+		{"length, request read later", long, canned.Response{Text: length, Pause: time.Millisecond, End: canned.Drained}, true},
+		{"chunks, reset", long, canned.Response{Text: chunked, Pause: time.Millisecond, End: canned.Reset}, true},
+		{"chunks, request read later", long, canned.Response{Text: chunked, Pause: time.Millisecond, End: canned.Drained}, true},
+		{"ended, request read later", long, canned.Response{Text: part, Pause: time.Millisecond, End: canned.Drained}, true},
+		{"stream ended, request read later", long, canned.Response{Text: events, Pause: time.Millisecond, End: canned.Drained}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -59,7 +64,7 @@
 			defer cleanup()
 			wrong := 0
 			for range calls {
-				if err = callOnce(t.Context(), s, target.Address, request); (err == nil) != c.whole {
+				if err = callOnce(t.Context(), s, target.Address, c.request); (err == nil) != c.whole {
 					wrong++
 				}
 			}
--- a/io/relay/upload.go
+++ b/io/relay/upload.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"yuccadoor/io/conns"
 )
 
 // uploadTimeout is how long a target that has ended an unframed response may take to read the
@@ -14,12 +16,13 @@
 
 // upload is a request body that is written while the response is read.
 type upload struct {
+	conn net.Conn
 	done chan struct{} // closed when the write has returned
 	err  error         // of the write; valid once done is closed
 }
 
 func startUpload(conn net.Conn, body []byte) *upload {
-	u := &upload{done: make(chan struct{})}
+	u := &upload{conn: conn, done: make(chan struct{})}
 	go func() {
 		defer close(u.done)
 		_, u.err = conn.Write(body)
@@ -40,21 +43,25 @@
 	}
 }
 
-// wait waits until the whole body has been written, for at most uploadTimeout.
-func (u *upload) wait() error {
+// await waits until the target has got the whole request, for at most uploadTimeout each until it
+// is written and acknowledged.
+func (u *upload) await() error {
 	timeout := time.NewTimer(uploadTimeout)
 	defer timeout.Stop()
 	select {
 	case <-u.done:
-		return errors.Wrap(u.err, "the response ended while the request was written")
 	case <-timeout.C:
-		return errors.New("the response ended, and the target does not read the request")
+		return errors.New("the target does not read the request")
+	}
+	if u.err != nil {
+		return u.err
 	}
+	return conns.AwaitAcknowledged(u.conn, uploadTimeout)
 }
 
-// uploadChecker reads the body of an unframed response. The kernel reports the reset of a
-// connection once: if the writer gets it, the reader sees an orderly end. So the end of the body
-// counts only if the request has been written.
+// uploadChecker reads the body of an unframed response, which ends with its connection. The kernel
+// reports the reset of a connection once: if the writer gets it, the reader sees an orderly end.
+// So the end of the body counts only if the target has got the whole request.
 type uploadChecker struct {
 	body   io.Reader
 	upload *upload
@@ -66,8 +73,8 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if uploadErr := c.upload.wait(); uploadErr != nil {
-		return n, uploadErr
+	if uploadErr := c.upload.await(); uploadErr != nil {
+		return n, errors.Wrap(uploadErr, "the response ended within the request")
 	}
 	return n, io.EOF
 }
