A reset while a request is passed on is no end of a carried answer

Callers of a host that reaches a server through another host got a part of a response as a complete one, in the same case as on a direct connection.

Cause: the host between copies in both directions. When the copy towards the server got the reset, the other copy read an orderly end and passed that on, with the last chunk. Even where the asking host was still writing, its own write ended without an error, since what it had written was in buffers.

Change: once the server's bytes have ended, the host between lets the request settle and awaits its acknowledgement (io/detour request.go). Only if nothing failed does it write the last chunk, and in the trailer Yuccadoor-Passed how many bytes of the request the server has got. The asking host takes the end of a response without a length for complete only if that is the whole of a long request. A short one was passed on before the server answered.

--- a/io/detour/carry.go
+++ b/io/detour/carry.go
@@ -137,33 +137,46 @@
 		return errors.Wrap(err, "answer the asking host")
 	}
 	started := c.settings.Now()
+	request := &requestWriter{target: server}
 	var up int64
 	var upErr error
-	var sending sync.WaitGroup
-	sending.Go(func() {
-		up, upErr = io.Copy(server, io.MultiReader(io.LimitReader(buffered, int64(buffered.Reader.Buffered())), client))
+	requestEnded := make(chan struct{})
+	go func() {
+		defer close(requestEnded)
+		up, upErr = io.Copy(request, io.MultiReader(io.LimitReader(buffered, int64(buffered.Reader.Buffered())), client))
 		// The asking host has no more to send, or has given the request up.
 		server.Close()
-	})
+		_, _ = io.Copy(io.Discard, client)
+	}()
 	down, downErr := io.Copy(answers, server)
 	if downErr == nil {
-		downErr = endInOrder(client, answers)
+		downErr = endInOrder(client, answers, request)
+	}
+	server.Close()
+	if !answers.Framed() {
+		// The asking host must not get the reset while it writes; see requestWriter.
+		linger(requestEnded)
 	}
 	client.Close()
-	sending.Wait()
+	<-requestEnded
 	c.settings.Log.Event("info", "connection carried", "From", r.RemoteAddr, "Target", r.Host, "Up", up, "Down", down, "Took", c.settings.Now().Sub(started))
 	if upErr != nil && !errors.Is(upErr, net.ErrClosed) {
-		return errors.Wrap(upErr, "from the asking host")
+		return errors.Wrap(upErr, "pass the request on")
 	}
 	if errors.Is(downErr, net.ErrClosed) {
 		return nil
 	}
-	return errors.Wrap(downErr, "from the target")
+	return errors.Wrap(downErr, "pass the target's bytes on")
 }
 
-// endInOrder tells the asking host that the target has ended its connection in order.
-func endInOrder(client net.Conn, answers io.WriteCloser) error {
-	if err := answers.Close(); err != nil {
+// endInOrder tells the asking host that the target has ended its connection in order, unless the
+// request shows otherwise.
+func endInOrder(client net.Conn, answers answerWriter, request *requestWriter) error {
+	passed, err := request.settle()
+	if err != nil {
+		return err
+	}
+	if err := answers.End(passed); err != nil {
 		return err
 	}
 	return setResetOnClose(client, false)
--- a/io/detour/detour.go
+++ b/io/detour/detour.go
@@ -163,7 +163,7 @@
 type Conn struct {
 	net.Conn
 	Host  netip.AddrPort // through which it goes
-	bytes io.Reader      // of the target
+	bytes carriedBytes
 }
 
 // Read implements net.Conn. io.EOF means that the target has ended the connection, not only
@@ -173,6 +173,10 @@
 // Through returns the host through which the connection goes.
 func (c *Conn) Through() netip.AddrPort { return c.Host }
 
+// Passed returns how many of the written bytes the target has got, once reading has returned
+// io.EOF; -1 if the host does not state it.
+func (c *Conn) Passed() int64 { return c.bytes.Passed() }
+
 // SingleUse marks the connection as good for one request only: the other host checks only
 // once whether it may send to the target.
 func (*Conn) SingleUse() {}
@@ -195,7 +199,7 @@
 
 // requestConnection asks the host at the other end of conn for a connection to a target. It
 // returns the target's bytes.
-func requestConnection(ctx context.Context, conn net.Conn, target netip.AddrPort) (io.Reader, error) {
+func requestConnection(ctx context.Context, conn net.Conn, target netip.AddrPort) (carriedBytes, error) {
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodConnect, "http://"+target.String(), nil)
@@ -221,5 +225,5 @@
 	case !stop():
 		return nil, ctx.Err()
 	}
-	return carriedBytes(conn, response.Header), nil
+	return readCarried(conn, response.Header), nil
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -182,8 +182,8 @@
 		return nil, &SendError{Err: errors.Wrapf(ErrNotAllowed, "send to target %s", c.Target)}
 	}
 	r := &Response{sender: s, call: c, conn: conn, Reused: conn.Reused}
-	if detour, ok := conn.Conn.(interface{ Through() netip.AddrPort }); ok {
-		r.Through = detour.Through()
+	if carried, ok := conn.Conn.(carriedConn); ok {
+		r.Through = carried.Through()
 	}
 	r.stopCancel = context.AfterFunc(ctx, func() { conn.Conn.SetDeadline(time.Unix(1, 0)) })
 	sent, err := r.writeRequest()
@@ -223,7 +223,7 @@
 	if n, err := r.conn.Conn.Write(header); err != nil {
 		return n > 0, err
 	}
-	r.upload = startUpload(r.conn.Conn, r.call.Body)
+	r.upload = startUpload(r.conn.Conn, r.call.Body, len(header)+len(r.call.Body))
 	return true, nil
 }
 
--- a/io/relay/reset_test.go
+++ b/io/relay/reset_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"yuccadoor/io/canned"
+	"yuccadoor/io/conns"
 )
 
 // Regression guard: the kernel reports a reset once, and the goroutine that wrote the request got
@@ -97,3 +99,44 @@
 		}
 	}
 }
+
+// hostConn is a connection through a host that states how much of a request it has passed on.
+type hostConn struct {
+	net.Conn
+	passed int64
+}
+
+func (hostConn) Through() netip.AddrPort { return netip.MustParseAddrPort("10.0.0.1:1") }
+func (c hostConn) Passed() int64         { return c.passed }
+
+// A short request has been passed on whole before the target responds.
+func TestLongRequestThroughAnotherHostMustHaveBeenPassedOn(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		head         string
+		requestBytes int
+		passed       int64
+		whole        bool
+	}{
+		{"all", "", asyncBodySize, 1 << 20, true},
+		{"a part", "", asyncBodySize, asyncBodySize, false},
+		{"unknown", "", asyncBodySize, -1, false},
+		{"unknown, response with a length", "Content-Length: 4\r\n", asyncBodySize, -1, true},
+		{"unknown, short request", "", asyncBodySize - 1, -1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			target, stop, err := canned.New(t.Context(), netip.MustParseAddr("127.0.0.1"), func(*http.Request) canned.Response {
+				return canned.Response{Text: "HTTP/1.1 200 OK\r\nX-Id: q\r\nX-Stamp: s\r\n" + c.head + "\r\ndone", ReadBytes: int64(c.requestBytes)}
+			})
+			assert.NilError(t, err)
+			defer stop()
+			s, cleanup := New(t.Context(), names, func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+				conn, err := conns.DialTCP(ctx, to)
+				return hostConn{conn, c.passed}, err
+			}, time.Now)
+			defer cleanup()
+			err = callOnce(t.Context(), s, target.Address, make([]byte, c.requestBytes))
+			assert.Equal(t, err == nil, c.whole, "%v", err)
+		})
+	}
+}
--- a/io/relay/upload.go
+++ b/io/relay/upload.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,13 +17,14 @@
 
 // upload is a request body that is written while the response is read.
 type upload struct {
-	conn net.Conn
-	done chan struct{} // closed when the write has returned
-	err  error         // of the write; valid once done is closed
+	conn         net.Conn
+	requestBytes int           // with the header
+	done         chan struct{} // closed when the write has returned
+	err          error         // of the write; valid once done is closed
 }
 
-func startUpload(conn net.Conn, body []byte) *upload {
-	u := &upload{conn: conn, done: make(chan struct{})}
+func startUpload(conn net.Conn, body []byte, requestBytes int) *upload {
+	u := &upload{conn: conn, requestBytes: requestBytes, done: make(chan struct{})}
 	go func() {
 		defer close(u.done)
 		_, u.err = conn.Write(body)
@@ -43,6 +45,14 @@
 	}
 }
 
+// carriedConn is a connection through another host, which carries one request.
+type carriedConn interface {
+	Through() netip.AddrPort
+	// Passed returns how many bytes of the request the target has got, once its bytes have
+	// ended; -1 if the host does not state it.
+	Passed() int64
+}
+
 // await waits until the target has got the whole request, for at most uploadTimeout each until it
 // is written and acknowledged.
 func (u *upload) await() error {
@@ -56,7 +66,14 @@
 	if u.err != nil {
 		return u.err
 	}
-	return conns.AwaitAcknowledged(u.conn, uploadTimeout)
+	carried, ok := u.conn.(carriedConn)
+	if !ok {
+		return conns.AwaitAcknowledged(u.conn, uploadTimeout)
+	}
+	if passed := carried.Passed(); passed < int64(u.requestBytes) {
+		return errors.Errorf("the target has got %d of %d bytes of the request, as host %s states", passed, u.requestBytes, carried.Through())
+	}
+	return nil
 }
 
 // uploadChecker reads the body of an unframed response, which ends with its connection. The kernel
