A response with a status below 100 is an error

Callers waited until their deadline and got nothing: a server in trouble sent an answer with the status 000 and no body. With `serve`, what followed such an answer was taken for the response.

Cause: each status below 200 counted as that of an informational response, so that the next one was waited for.

Change: package io/reply reads the head of a response for all that speak with targets and other hosts (io/relay, io/reach, io/detour), and rejects a status below 100. The request may have run, so that it is handled as one whose response broke off.

--- a/io/detour/detour.go
+++ b/io/detour/detour.go
@@ -20,6 +20,7 @@
 
 	"yuccadoor/core/paths"
 	"yuccadoor/io/conns"
+	"yuccadoor/io/reply"
 )
 
 const (
@@ -212,7 +213,7 @@
 		return nil, errors.Wrap(err, "send request")
 	}
 	reader := bufio.NewReader(io.LimitReader(conn, conns.MaxHeaderBytes))
-	response, err := http.ReadResponse(reader, request)
+	response, err := reply.Read(reader, request)
 	switch {
 	case err != nil:
 		return nil, errors.Wrap(err, "read response")
--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -22,6 +22,7 @@
 
 	"yuccadoor/core/limit"
 	"yuccadoor/io/conns"
+	"yuccadoor/io/reply"
 )
 
 // Protocol between the system and targets.
@@ -225,7 +226,7 @@
 		if err := a.extendReadDeadline(); err != nil {
 			return nil, err
 		}
-		resp, err := http.ReadResponse(a.conn.Reader, &http.Request{Method: a.call.Method})
+		resp, err := reply.Read(a.conn.Reader, &http.Request{Method: a.call.Method})
 		if err != nil || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, err
 		}
--- a/io/reach/reach_test.go
+++ b/io/reach/reach_test.go
@@ -138,6 +138,8 @@
 		{"chunked body without its last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false},
 		{"incomplete status line", "HTTP/1.1 200", false},
 		{"empty response", "", false},
+		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 3\r\n\r\nabc", false},
+		{"status 000 before a response", "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false},
 		{
 			"stream without terminator",
 			"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 9\r\n\r\ndata: x\n\n", true,
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"yuccadoor/io/conns"
+	"yuccadoor/io/reply"
 )
 
 // Limits on responses.
@@ -251,7 +252,7 @@
 	defer r.conn.ClearReadLimit()
 	for range maxForeignResponses {
 		r.conn.SetReadLimit(conns.MaxHeaderBytes)
-		resp, err := http.ReadResponse(r.conn.Reader, &http.Request{Method: r.call.Method})
+		resp, err := reply.Read(r.conn.Reader, &http.Request{Method: r.call.Method})
 		if err != nil {
 			return err
 		}
