A response with a blank in the name of a field is an error

Callers got bodies that were not the server's, with 200: the sizes of chunks as part of the body after "Transfer-Encoding : chunked", and bytes after the body with "Content-Length : N". With a blank within a name the answer was passed on without that line.

Cause: net/http accepts a blank in a name and keeps the name as it is, so that such a field is not found under its own name. A length or coding in it counted as missing.

Change: io/reply rejects a response with such a field.

Control bytes, tabs and bytes above 0x7e in names, control bytes in values, folded lines and trailers were handled before; their rows stay.

--- a/io/plat/plat.go
+++ b/io/plat/plat.go
@@ -15,6 +15,7 @@
 
 	"yuccadoor/core/conf"
 	"yuccadoor/core/model"
+	"yuccadoor/io/reply"
 )
 
 // Timeouts and size limits of requests to the platform.
@@ -41,7 +42,7 @@
 // New returns a client and its cleanup function.
 func New(config, hosts netip.AddrPort) (*Client, func()) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: watchWait}
-	return &Client{config: config, hosts: hosts, http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+	return &Client{config: config, hosts: hosts, http: &http.Client{Transport: reply.Transport{RoundTripper: transport}}}, transport.CloseIdleConnections
 }
 
 // Config reads the configuration if its revision is greater than after, and returns
--- a/io/reply/reply.go
+++ b/io/reply/reply.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -23,5 +24,27 @@
 	if r.StatusCode < http.StatusContinue {
 		return errors.Errorf("the response has the status %.40q", r.Status)
 	}
+	for name := range r.Header {
+		// The parser rejects all other bytes that a name must not have.
+		if strings.Contains(name, " ") {
+			return errors.Errorf("the response has a field with a blank in its name, %.40q", name)
+		}
+	}
 	return nil
 }
+
+// Transport is a round tripper that rejects responses with a malformed head.
+type Transport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := check(response); err != nil {
+		response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
