A transfer coding in a response of HTTP/1.0 is an error

Callers got the sizes of chunks as part of the body, with 200, from a server that answered with HTTP/1.0 and "Transfer-Encoding: chunked". Found by the table of cases; it was not reported.

Cause: HTTP/1.0 has no transfer codings, and net/http drops the field in a response of that version. The body then ends with the connection, and includes the coding.

--- a/io/reply/reply_test.go
+++ b/io/reply/reply_test.go
@@ -42,6 +42,13 @@
 		{"control byte in a value", ok + length + "Odd: \x01x\r\n" + body, false},
 		{"folded line", ok + length + "Odd: x\r\n y\r\n" + body, true},
 		{"blanks around a value", ok + length + "Odd: \t x \t\r\n" + body, true},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + length + body, true},
+		{"HTTP/1.0, no length", "HTTP/1.0 200 OK\r\nOdd: x\r\n y\r\n" + body, true},
+		{"HTTP/1.0, coding", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", false},
+		{"HTTP/1.0, blank in a name", "HTTP/1.0 200 OK\r\nOdd Name: x\r\n" + body, false},
+		{"HTTP/1.0, status 000", "HTTP/1.0 000 None\r\n" + length + body, false},
+		{"HTTP/1.0, two lengths", "HTTP/1.0 200 OK\r\n" + length + "Content-Length: 3\r\n" + body, false},
+		{"HTTP/0.9, coding", "HTTP/0.9 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			response, err := Read(bufio.NewReader(strings.NewReader(c.text)), &http.Request{Method: http.MethodGet})
