A response that switches to another protocol is an error

Callers waited until their deadline and got nothing, and those of `serve` got the response itself: a server in trouble sent an answer with the status 101. Found by the table of cases; it was not reported.

Cause: as for statuses below 100, the host waited for the next response; io/reach passed 101 on. No request asks for another protocol, since the field for that belongs to one connection.

Change: io/reply rejects such a response.

All pass now.

--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -227,7 +227,7 @@
 			return nil, err
 		}
 		resp, err := reply.Read(a.conn.Reader, &http.Request{Method: a.call.Method})
-		if err != nil || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if err != nil || resp.StatusCode >= http.StatusOK {
 			return resp, err
 		}
 	}
--- a/io/reach/reach_test.go
+++ b/io/reach/reach_test.go
@@ -141,6 +141,7 @@
 		{"blank before the colon of a length", "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nabcmore", false},
 		{"blank before the colon of a coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", false},
 		{"coding of HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", false},
+		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n", false},
 		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 3\r\n\r\nabc", false},
 		{"status 000 before a response", "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false},
 		{
--- a/io/reply/reply.go
+++ b/io/reply/reply.go
@@ -37,6 +37,10 @@
 	if r.StatusCode < http.StatusContinue {
 		return errors.Errorf("the response has the status %.40q", r.Status)
 	}
+	// No request asks for another protocol.
+	if r.StatusCode == http.StatusSwitchingProtocols {
+		return errors.New("the response switches to another protocol")
+	}
 	return checkNames(r.Header)
 }
 
--- a/io/reply/reply_test.go
+++ b/io/reply/reply_test.go
@@ -22,6 +22,7 @@
 	}{
 		{"ordinary", ok + length + body, true},
 		{"informational", "HTTP/1.1 102 Processing\r\n\r\n", true},
+		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: odd\r\n\r\n", false},
 		{"unassigned status", "HTTP/1.1 799 None\r\n" + length + body, true},
 		{"status 000", "HTTP/1.1 000 None\r\n" + length + body, false},
 		{"status 000, no body", "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", false},
