serve: an orderly end with a reset after it breaks an unframed response

Callers of `serve` got a part of a response as a complete one in the same case as those of `edge`: a target ends its side in order within a response without a length, before all of a long request has arrived, and resets the connection a moment later.

Cause: the request had been written, to the system's buffers, and the target's process goes on.

Change: io/reach awaits the acknowledgement of the request at the end of such a response, before it looks whether the process has ended.

--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -39,6 +39,7 @@
 	headReserve       = 2 << 10              // room for a request's head, and for the end of copying
 	resumePath        = "/v1/streams/"       // where a stream is resumed
 	maxIdle           = 5 * time.Second      // longest idle time of a connection that is reused
+	ackTimeout        = time.Second          // for the rest of a request, after an unframed response
 	tailBytes         = len(streamEnd) + len("\r\n\r\n")
 )
 
@@ -248,10 +249,10 @@
 		switch {
 		case sinkErr != nil:
 			return Report{Sent: true, Result: limit.Result{Kind: limit.Cancelled}, Err: sinkErr}
-		case readErr == nil && isUnframed(resp) && s.processEnded(a.call.Target):
-			// The system closes the connections of a process that ends in order, too.
-			return a.brokenReport(ctx, errors.Errorf("the response of target %s ended with its process", a.call.Target))
 		case readErr == nil:
+			if err := s.confirmEnd(a, resp); err != nil {
+				return a.brokenReport(ctx, errors.Wrapf(err, "read response from target %s", a.call.Target))
+			}
 			return a.endedReport(resp.StatusCode, stream)
 		case name == "" || tries == resumeAttempts || ctx.Err() != nil:
 			return a.brokenReport(ctx, errors.Wrapf(readErr, "read response from target %s", a.call.Target))
@@ -264,6 +265,21 @@
 	}
 }
 
+// confirmEnd returns an error if a response that has been read to its end may be only a part. The
+// system closes the connections of a process that ends in order, too.
+func (s *Sender) confirmEnd(a *attempt, resp *http.Response) error {
+	if !isUnframed(resp) {
+		return nil
+	}
+	if err := conns.AwaitAcknowledged(a.conn.Conn, ackTimeout); err != nil {
+		return errors.Wrap(err, "the response ended within the request")
+	}
+	if s.processEnded(a.call.Target) {
+		return errors.New("the response ended with the target's process")
+	}
+	return nil
+}
+
 // isUnframed reports whether a response has neither a length nor chunks: it ends with its
 // connection.
 func isUnframed(resp *http.Response) bool {
--- a/io/reach/reach_test.go
+++ b/io/reach/reach_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"yuccadoor/core/limit"
+	"yuccadoor/io/canned"
 )
 
 // bufferSink is a sink that keeps the response.
@@ -166,6 +167,41 @@
 	}
 }
 
+// The kernel reports a reset once; here, the write that may get it ends before the response is read.
+func TestResetWhileARequestIsWrittenIsNeverComplete(t *testing.T) {
+	const calls = 10 // of each row
+	for _, c := range []struct {
+		name         string
+		requestBytes int
+		response     canned.Response
+	}{
+		{"at once", 8 << 20, canned.Response{End: canned.Reset}},
+		{"after 1 ms", 8 << 20, canned.Response{Pause: time.Millisecond, End: canned.Reset}},
+		{"some read", 8 << 20, canned.Response{ReadBytes: 200 << 10, Pause: time.Millisecond, End: canned.Reset}},
+		{"ended in order, reset later, request in buffers", 512 << 10, canned.Response{Pause: 5 * time.Millisecond, End: canned.Late}},
+		{"request in buffers", 512 << 10, canned.Response{Pause: 5 * time.Millisecond, End: canned.Reset}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.response.Text = "HTTP/1.1 200 OK\r\n\r\npart"
+			target, stop, err := canned.New(t.Context(), netip.MustParseAddr("127.0.0.1"), func(*http.Request) canned.Response { return c.response })
+			assert.NilError(t, err)
+			defer stop()
+			s := newSender(t)
+			complete := 0
+			for range calls {
+				report := s.Send(t.Context(), &Call{
+					Target: target.Address, Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: make([]byte, c.requestBytes),
+					Expires: time.Now().Add(time.Minute), IdleTimeout: time.Second,
+				}, &bufferSink{})
+				if report.Complete {
+					complete++
+				}
+			}
+			assert.Equal(t, complete, 0, "of %d", calls)
+		})
+	}
+}
+
 func TestNotSentIsReportedOnlyWhenNothingWasWritten(t *testing.T) {
 	target := startRawTarget(t, func(_ int, path string, conn net.Conn) bool {
 		writeResponse(conn, path)
