One timeout for a request after its response; carry in two functions

The waits for the write and for its acknowledgement share uploadTimeout, and settleTimeout at a host that carries the connection, so that the end of a response is held for no longer than that. io/relay and io/detour pass twice with the race detector.

--- a/io/detour/carry.go
+++ b/io/detour/carry.go
@@ -1,6 +1,7 @@
 package detour
 
 import (
+	"bufio"
 	"cmp"
 	"context"
 	"io"
@@ -117,21 +118,11 @@
 // carry passes bytes on in both directions until one side has ended. Only the orderly end of
 // the target's bytes is passed on as such, so that a truncated answer does not look complete.
 func (c *Carrier) carry(w http.ResponseWriter, r *http.Request, server net.Conn) error {
-	client, buffered, err := http.NewResponseController(w).Hijack()
+	client, buffered, err := takeOver(w)
 	if err != nil {
-		return errors.Wrap(err, "take over the connection")
+		return errors.Wrap(err, "take over the connection of the asking host")
 	}
 	defer client.Close()
-	if wrapped, ok := client.(interface{ NetConn() net.Conn }); ok {
-		client = wrapped.NetConn()
-	}
-	if err := conns.DetectSilence(client); err != nil {
-		return errors.Wrap(err, "set up the connection of the asking host")
-	}
-	// Also when this process ends, and the system closes the connection.
-	if err := setResetOnClose(client, true); err != nil {
-		return errors.Wrap(err, "set up the connection of the asking host")
-	}
 	answers, err := acceptConnection(client, r)
 	if err != nil {
 		return errors.Wrap(err, "answer the asking host")
@@ -143,7 +134,7 @@
 	requestEnded := make(chan struct{})
 	go func() {
 		defer close(requestEnded)
-		up, upErr = io.Copy(request, io.MultiReader(io.LimitReader(buffered, int64(buffered.Reader.Buffered())), client))
+		up, upErr = io.Copy(request, io.MultiReader(io.LimitReader(buffered, int64(buffered.Buffered())), client))
 		// The asking host has no more to send, or has given the request up.
 		server.Close()
 		_, _ = io.Copy(io.Discard, client)
@@ -154,7 +145,7 @@
 	}
 	server.Close()
 	if !answers.Framed() {
-		// The asking host must not get the reset while it writes; see requestWriter.
+		// The asking host must not get the reset while it writes; see requestWriter.settle.
 		linger(requestEnded)
 	}
 	client.Close()
@@ -169,6 +160,27 @@
 	return errors.Wrap(downErr, "pass the target's bytes on")
 }
 
+// takeOver returns the connection of the asking host and what has been read from it. It ends with
+// a reset until setResetOnClose says otherwise, also when this process ends and the system closes it.
+func takeOver(w http.ResponseWriter) (net.Conn, *bufio.Reader, error) {
+	client, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil, nil, err
+	}
+	if wrapped, ok := client.(interface{ NetConn() net.Conn }); ok {
+		client = wrapped.NetConn()
+	}
+	if err := conns.DetectSilence(client); err != nil {
+		client.Close()
+		return nil, nil, err
+	}
+	if err := setResetOnClose(client, true); err != nil {
+		client.Close()
+		return nil, nil, err
+	}
+	return client, buffered.Reader, nil
+}
+
 // endInOrder tells the asking host that the target has ended its connection in order, unless the
 // request shows otherwise.
 func endInOrder(client net.Conn, answers answerWriter, request *requestWriter) error {
--- a/io/detour/request.go
+++ b/io/detour/request.go
@@ -54,7 +54,7 @@
 		case err != nil:
 			return 0, errors.Wrap(err, "write to the target")
 		case settled:
-			return bytes, errors.Wrap(conns.AwaitAcknowledged(w.target, settleTimeout), "write to the target")
+			return bytes, errors.Wrap(conns.AwaitAcknowledged(w.target, time.Until(end)), "write to the target")
 		case time.Now().After(end):
 			return 0, errors.New("the target's bytes have ended within the request")
 		}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -160,8 +160,8 @@
 	call       *Call
 	conn       *conns.PooledConn
 	resp       *http.Response
-	body       io.Reader
-	upload     *upload // nil if the request was written before the response was read
+	body       io.Reader // of resp; see uploadChecker
+	upload     *upload   // nil if the request was written before the response was read
 	stopCancel func() bool
 	events     *bufio.Reader
 	buffered   int64 // bytes of the body in memory
--- a/io/relay/upload.go
+++ b/io/relay/upload.go
@@ -53,9 +53,9 @@
 	Passed() int64
 }
 
-// await waits until the target has got the whole request, for at most uploadTimeout each until it
-// is written and acknowledged.
+// await waits until the target has got the whole request, for at most uploadTimeout.
 func (u *upload) await() error {
+	end := time.Now().Add(uploadTimeout)
 	timeout := time.NewTimer(uploadTimeout)
 	defer timeout.Stop()
 	select {
@@ -68,7 +68,7 @@
 	}
 	carried, ok := u.conn.(carriedConn)
 	if !ok {
-		return conns.AwaitAcknowledged(u.conn, uploadTimeout)
+		return conns.AwaitAcknowledged(u.conn, time.Until(end))
 	}
 	if passed := carried.Passed(); passed < int64(u.requestBytes) {
 		return errors.Errorf("the target has got %d of %d bytes of the request, as host %s states", passed, u.requestBytes, carried.Through())
