--- a/io/canned/canned.go
+++ b/io/canned/canned.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"syscall"
 	"time"
 
@@ -41,18 +40,8 @@
 	End       End
 }
 
-// Target is a target on a loopback address.
-type Target struct {
-	Address  netip.AddrPort
-	respond  func(r *http.Request) Response
-	listener net.Listener
-
-	mu       sync.Mutex
-	requests int // guarded by mu
-}
-
-// New starts a target and returns it with its cleanup function.
-func New(ctx context.Context, at netip.Addr, respond func(r *http.Request) Response) (*Target, func(), error) {
+// New starts a target on a loopback address and returns its address and its cleanup function.
+func New(ctx context.Context, at netip.Addr, respond func(r *http.Request) Response) (netip.AddrPort, func(), error) {
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		var sockoptErr error
 		err := c.Control(func(fd uintptr) {
@@ -65,29 +54,21 @@
 	}}
 	l, err := config.Listen(ctx, "tcp", netip.AddrPortFrom(at, 0).String())
 	if err != nil {
-		return nil, nil, err
+		return netip.AddrPort{}, nil, err
 	}
-	t := &Target{Address: l.Addr().(*net.TCPAddr).AddrPort(), respond: respond, listener: l}
 	go func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go t.serve(conn.(*net.TCPConn))
+			go serve(conn.(*net.TCPConn), respond)
 		}
 	}()
-	return t, func() { l.Close() }, nil
-}
-
-// Requests returns the number of requests that have reached the target.
-func (t *Target) Requests() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.requests
+	return l.Addr().(*net.TCPAddr).AddrPort(), func() { l.Close() }, nil
 }
 
-func (t *Target) serve(conn *net.TCPConn) {
+func serve(conn *net.TCPConn, respond func(r *http.Request) Response) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -95,10 +76,7 @@
 		if err != nil {
 			return
 		}
-		t.mu.Lock()
-		t.requests++
-		t.mu.Unlock()
-		response := t.respond(request)
+		response := respond(request)
 		_, _ = io.CopyN(io.Discard, request.Body, response.ReadBytes)
 		_, _ = io.WriteString(conn, response.Text)
 		time.Sleep(response.Pause)
--- a/io/detour/reset_test.go
+++ b/io/detour/reset_test.go
@@ -56,7 +56,7 @@
 			p := startPeer(t, CarrierSettings{})
 			ended := 0
 			for range calls {
-				if endsInOrder(t, connect(t, p.address, target.Address, c.before), c.request) {
+				if endsInOrder(t, connect(t, p.address, target, c.before), c.request) {
 					ended++
 				}
 			}
--- a/io/reach/reach_test.go
+++ b/io/reach/reach_test.go
@@ -190,7 +190,7 @@
 			complete := 0
 			for range calls {
 				report := s.Send(t.Context(), &Call{
-					Target: target.Address, Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: make([]byte, c.requestBytes),
+					Target: target, Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: make([]byte, c.requestBytes),
 					Expires: time.Now().Add(time.Minute), IdleTimeout: time.Second,
 				}, &bufferSink{})
 				if report.Complete {
--- a/io/relay/reset_test.go
+++ b/io/relay/reset_test.go
@@ -66,7 +66,7 @@
 			defer cleanup()
 			wrong := 0
 			for range calls {
-				if err = callOnce(t.Context(), s, target.Address, c.request); (err == nil) != c.whole {
+				if err = callOnce(t.Context(), s, target, c.request); (err == nil) != c.whole {
 					wrong++
 				}
 			}
@@ -135,7 +135,7 @@
 				return hostConn{conn, c.passed}, err
 			}, time.Now)
 			defer cleanup()
-			err = callOnce(t.Context(), s, target.Address, make([]byte, c.requestBytes))
+			err = callOnce(t.Context(), s, target, make([]byte, c.requestBytes))
 			assert.Equal(t, err == nil, c.whole, "%v", err)
 		})
 	}
--- a/io/reply/reply_test.go
+++ b/io/reply/reply_test.go
@@ -80,7 +80,7 @@
 			assert.NilError(t, err)
 			defer stop()
 			client := http.Client{Transport: Transport{&http.Transport{DisableKeepAlives: true}}}
-			response, err := client.Get("http://" + target.Address.String())
+			response, err := client.Get("http://" + target.String())
 			assert.Equal(t, err == nil, c.valid, "%v", err)
 			if c.valid {
 				response.Body.Close()
