--- a/io/detour/carry.go
+++ b/io/detour/carry.go
@@ -135,9 +135,10 @@
 	go func() {
 		defer close(requestEnded)
 		up, upErr = io.Copy(request, io.MultiReader(io.LimitReader(buffered, int64(buffered.Buffered())), client))
-		// The asking host has no more to send, or has given the request up.
+		// The asking host has no more to send or has given the request up, or the target takes
+		// no more.
 		server.Close()
-		_, _ = io.Copy(io.Discard, client)
+		_, _ = io.Copy(io.Discard, client) // until linger is over
 	}()
 	down, downErr := io.Copy(answers, server)
 	if downErr == nil {
--- a/io/detour/request.go
+++ b/io/detour/request.go
@@ -67,7 +67,8 @@
 	return w.bytes, !w.writing && time.Since(w.changedAt) >= settleTime, w.err
 }
 
-// linger waits until a request has ended, for at most settleTimeout.
+// linger waits until the asking host has closed its connection, for at most settleTimeout. Until
+// then, what it still sends is discarded.
 func linger(ended <-chan struct{}) {
 	timeout := time.NewTimer(settleTimeout)
 	defer timeout.Stop()
