A session's earlier turn is no proof of the version that began a stream

The leader now detects sessions: a stream begins with the last part of another one that has begun, or targets of two versions keep the part. For services with sessions the version is taken only if no other version can have begun the stream: all its targets have listed, and none has gone during the life of a stream. A list of a process that is not the published one is no answer. Where a part is one stream's alone, it still proves the version.

Logs and metrics could not tell by what a version was found: "stream taken up" and yuccadoor_streams_taken_up_total do.

TestVersionOfAStream and TestTargetsAreNotAskedAllTheTime only call the method by its new name; their cases and figures are as before.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -84,6 +84,7 @@
 	parts          *parts.Records // crashes by parts of prompts
 	notices        *notice.Store
 	origins        *origin.Store // versions of streams
+	streamEvents   []StreamEvent
 	// reportedSerial is the serial of the last crash returned by NewCrashes.
 	reportedSerial uint64
 	answersChanged bool        // an answer was recorded since the last call of NewAnswers
@@ -204,6 +205,9 @@
 			return
 		}
 	}
+	if !r.Resumed && !r.InProgress() {
+		b.origins.ObserveTurn(r.Service, r.Stream, r.LastPart)
+	}
 	if !b.checkVersion(now, q) {
 		return
 	}
@@ -255,6 +259,9 @@
 	prompt := 0
 	if r.queued != nil {
 		prompt = r.queued.request.PromptTokens
+		if c.OutputTokens > 0 {
+			b.origins.RecordTurn(now, r.queued.request.Service, r.queued.request.Stream, r.queued.request.LastPart)
+		}
 		if c.Outcome.NotRun() {
 			b.returnTokens(r.queued)
 		}
--- a/core/broker/stream.go
+++ b/core/broker/stream.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -37,22 +38,48 @@
 	return longest
 }
 
+// StreamEvent tells by what the version of a stream that was taken up was found, or that it
+// was not.
+type StreamEvent struct {
+	Host    netip.AddrPort // that asked
+	Request uint64
+	Stream  uint64
+	Service string
+	Waited  time.Duration
+	origin.Finding
+}
+
+// maxStreamEvents limits the events between two calls of TakeStreamEvents.
+const maxStreamEvents = 1024
+
+// TakeStreamEvents returns the streams whose versions were found, or not, since the last call.
+func (b *Broker) TakeStreamEvents() []StreamEvent {
+	events := b.streamEvents
+	b.streamEvents = nil
+	return events
+}
+
 // resolve determines the version that began the stream of a request. It returns false if
 // it cannot be known.
 func (b *Broker) resolve(now time.Time, q *queuedRequest) bool {
 	if !q.unresolved {
 		return true
 	}
-	version, verdict := b.origins.Version(now, origin.Stream{
+	waited := now.Sub(q.queuedAt)
+	finding := b.origins.Find(now, origin.Stream{
 		Service: q.request.Service, Key: q.request.Stream, Part: q.request.LastPart, AskedAt: q.queuedAt,
 	})
-	switch verdict {
-	case origin.Known:
-		q.versionState = versionState{pinned: true, version: version}
-	case origin.Pending:
-		return now.Sub(q.queuedAt) < maxResolveTime
+	if finding.Verdict == origin.Pending && waited < maxResolveTime {
+		return true
+	}
+	if len(b.streamEvents) < maxStreamEvents {
+		b.streamEvents = append(b.streamEvents, StreamEvent{q.host, q.request.ID, q.request.Stream, q.request.Service, waited, finding})
+	}
+	if finding.Verdict != origin.Known {
+		return false
 	}
-	return verdict == origin.Known
+	q.versionState = versionState{pinned: true, version: finding.Version}
+	return true
 }
 
 // resolveAll determines the versions of waiting requests, and refuses those whose version
@@ -60,6 +87,11 @@
 func (b *Broker) resolveAll(now time.Time, service string) {
 	queue := b.queues[service]
 	b.work += uint64(len(queue))
+	for _, q := range queue {
+		if q.unresolved && !q.cancelled {
+			b.origins.ObserveKept(service, q.request.LastPart)
+		}
+	}
 	b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool { return q.cancelled || !b.checkVersion(now, q) })
 }
 
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"yuccadoor/core/model"
@@ -32,7 +33,7 @@
 type Stream struct {
 	Service string
 	Key     uint64           // the same for all requests of the stream; 0 if unknown
-	Part    model.PromptPart // last part of its prompt, which no other stream has; 0 if unknown
+	Part    model.PromptPart // last part of its prompt, its own or its session's; 0 if unknown
 	AskedAt time.Time        // when its caller took it up
 }
 
@@ -46,6 +47,28 @@
 	Unknown Verdict = "Unknown"
 )
 
+// Source is what a version is known by.
+type Source string
+
+// Sources of a known version.
+const (
+	ByRecord  Source = "Record"  // a host has recorded it
+	ByService Source = "Service" // the service had no other version
+	ByParts   Source = "Parts"   // only targets of this version can have begun the stream
+)
+
+// Finding is what is known of the version that began a stream, and by what.
+type Finding struct {
+	Verdict Verdict
+	Version string
+	Source  Source
+	Age     time.Duration // of the record
+	// Suspects are the versions of targets that may have begun the stream though they no
+	// longer tell. Where streams are turns of sessions, they leave its version unknown.
+	Suspects []string
+	Sessions bool
+}
+
 // Begun is a stream that a host has begun, as reported to a new leader.
 type Begun struct {
 	Key     uint64        `cbor:"1,keyasint,omitempty"`
@@ -106,18 +129,36 @@
 	// seen is when a version of a service was last published, by service.
 	seen     map[string]map[string]time.Time
 	listings map[string]listing // by target
+	// lost holds the processes of targets that were published and are gone.
+	lost  map[process]lostProcess
+	turns *turns
+}
+
+// process is one run of a target.
+type process struct {
+	id   string
+	born uint64
+}
+
+func processOf(t *roster.Target) process { return process{t.ID, t.Born} }
+
+// lostProcess is a process of a target that is no longer published.
+type lostProcess struct {
+	service, version string
+	at               time.Time // when it was last published
 }
 
 // listing is the answer of a target that was asked for the parts that it keeps.
 type listing struct {
 	askedAt  time.Time
-	answered bool // or failed
+	answered bool
+	failed   bool // the target did not tell
 	parts    map[model.PromptPart]bool
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{log: NewLog(), targets: roster.New().Snapshot(), seen: map[string]map[string]time.Time{}, listings: map[string]listing{}}
+	return &Store{log: NewLog(), targets: roster.New().Snapshot(), seen: map[string]map[string]time.Time{}, listings: map[string]listing{}, lost: map[process]lostProcess{}, turns: newTurns()}
 }
 
 // SetLife sets the longest time that a request for a stream may take.
@@ -138,6 +179,7 @@
 		s.since = now
 	}
 	s.markSeen(now) // the former ones were published until now
+	s.markLost(now, targets)
 	s.targets = targets
 	s.markSeen(now)
 	maps.DeleteFunc(s.listings, func(id string, _ listing) bool { return targets.Targets[id] == nil })
@@ -152,6 +194,20 @@
 	}
 }
 
+// markLost records the processes that a new list of targets lacks.
+func (s *Store) markLost(now time.Time, targets *roster.Snapshot) {
+	for id, t := range s.targets.Targets {
+		if next := targets.Targets[id]; next == nil || processOf(next) != processOf(t) || next.Version != t.Version {
+			s.lost[processOf(t)] = lostProcess{t.Service, t.Version, now}
+		}
+	}
+	maps.DeleteFunc(s.lost, func(p process, l lostProcess) bool {
+		t := targets.Targets[p.id]
+		returned := t != nil && processOf(t) == p && t.Version == l.version
+		return returned || now.Sub(l.at) > s.log.life
+	})
+}
+
 // Record records the version to which a request for a stream is sent.
 func (s *Store) Record(now time.Time, key uint64, version string) { s.log.Record(now, key, version) }
 
@@ -164,22 +220,22 @@
 	}
 }
 
-// Version returns the version that began a stream: as recorded, as the only one that can
+// Find returns the version that began a stream: as recorded, as the only one that can
 // have begun it, or as that of the targets that keep its prompt.
-func (s *Store) Version(now time.Time, stream Stream) (string, Verdict) {
+func (s *Store) Find(now time.Time, stream Stream) Finding {
 	if r, ok := s.log.streams[stream.Key]; ok && stream.Key != 0 && now.Sub(r.at) <= s.log.life {
-		return r.version, Known
+		return Finding{Verdict: Known, Version: r.version, Source: ByRecord, Age: now.Sub(r.at)}
 	}
 	version, ok := s.onlyVersion(now, stream.Service)
 	switch {
 	case ok && !s.outOfStep && (s.knowsAll(now) || stream.Part == 0):
 		// Without a prompt, nothing else can tell: a host that has just started goes by
 		// what it has seen.
-		return version, Known
+		return Finding{Verdict: Known, Version: version, Source: ByService}
 	case stream.Part == 0:
-		return "", Unknown
+		return Finding{Verdict: Unknown}
 	}
-	return s.versionKeeping(now, stream)
+	return s.findByParts(now, stream)
 }
 
 // knowsAll reports whether it is known what was published during the longest life of a
@@ -206,30 +262,49 @@
 	return only, found
 }
 
-// versionKeeping returns the only version whose targets keep the prompt of a stream, by
+// findByParts returns the version whose targets keep the last part of a stream's prompt, by
 // listings that were asked for after the stream was taken up.
-func (s *Store) versionKeeping(now time.Time, stream Stream) (string, Verdict) {
-	version, found := "", false
+func (s *Store) findByParts(now time.Time, stream Stream) Finding {
+	keeping, suspects := map[string]bool{}, map[string]bool{}
 	for id, t := range s.targets.Targets {
 		if t.Service != stream.Service {
 			continue
 		}
 		l := s.listings[id]
-		if l.askedAt.Before(stream.AskedAt) || !l.answered && now.Sub(l.askedAt) < maxListTime {
-			return "", Pending
+		switch waited := now.Sub(l.askedAt); {
+		case l.askedAt.Before(stream.AskedAt), !l.answered && !l.failed && waited < maxListTime:
+			return Finding{Verdict: Pending}
+		case !l.answered:
+			suspects[t.Version] = true
+		case l.parts[stream.Part]:
+			keeping[t.Version] = true
 		}
-		if !l.parts[stream.Part] {
-			continue
-		}
-		if found && version != t.Version {
-			return "", Unknown
+	}
+	for _, l := range s.lost {
+		if l.service == stream.Service && now.Sub(l.at) <= s.log.life {
+			suspects[l.version] = true
 		}
-		version, found = t.Version, true
 	}
-	if !found {
-		return "", Unknown
+	return s.conclude(stream.Service, keeping, suspects)
+}
+
+// conclude returns the version that began a stream, given those whose targets keep its part
+// and those with targets of which nobody knows. A part of one stream alone is kept only where
+// that ran. The part of a session may be kept from an earlier turn, so that no target of
+// another version may be left that can have begun the stream.
+func (s *Store) conclude(service string, keeping, suspects map[string]bool) Finding {
+	f := Finding{Verdict: Unknown, Sessions: s.HasSessions(service)}
+	version := ""
+	if len(keeping) == 1 {
+		version = slices.Collect(maps.Keys(keeping))[0]
+		delete(suspects, version)
+	}
+	f.Suspects = slices.Sorted(maps.Keys(suspects))
+	if len(keeping) != 1 || f.Sessions && len(suspects) > 0 {
+		return f
 	}
-	return version, Known
+	f.Verdict, f.Version, f.Source = Known, version, ByParts
+	return f
 }
 
 // TargetsToList returns the targets of a service that are to list their parts, so that
@@ -254,7 +329,7 @@
 	if !ok {
 		return
 	}
-	l.answered, l.parts = true, map[model.PromptPart]bool{}
+	l.answered, l.failed, l.parts = parts != nil, parts == nil, map[model.PromptPart]bool{}
 	for _, p := range parts {
 		l.parts[p] = true
 	}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -77,9 +77,9 @@
 			if c.prepare != nil {
 				c.prepare(s, now)
 			}
-			version, verdict := s.Version(now, Stream{Service: "s", Key: key, Part: c.part, AskedAt: now})
-			assert.Equal(t, verdict, c.verdict)
-			assert.Equal(t, version, c.version)
+			found := s.Find(now, Stream{Service: "s", Key: key, Part: c.part, AskedAt: now})
+			assert.Equal(t, found.Verdict, c.verdict)
+			assert.Equal(t, found.Version, c.version)
 		})
 	}
 }
@@ -95,9 +95,123 @@
 	// A target that does not tell holds up nothing.
 	s.RecordParts("a", []model.PromptPart{3})
 	stream := Stream{Service: "s", Part: 3, AskedAt: later}
-	_, verdict := s.Version(later, stream)
-	assert.Equal(t, verdict, Pending)
-	version, verdict := s.Version(later.Add(maxListTime), stream)
-	assert.Equal(t, verdict, Known)
-	assert.Equal(t, version, "v1")
+	assert.Equal(t, s.Find(later, stream).Verdict, Pending)
+	found := s.Find(later.Add(maxListTime), stream)
+	assert.Equal(t, found.Verdict, Known)
+	assert.Equal(t, found.Version, "v1")
+}
+
+// Guards against taking a target that keeps the last part of a session's prompts from an
+// earlier turn for the one that began the stream: streams went on at another version.
+func TestPartOfASessionIsNoProofWhileAnotherVersionMayHaveBegunTheStream(t *testing.T) {
+	const part = 9
+	both := map[string]string{"a": "v1", "b": "v1", "c": "v2", "d": "v2"}
+	keeps, other := []model.PromptPart{part}, []model.PromptPart{1}
+	for _, c := range []struct {
+		name    string
+		between func(s *Store) // after the targets were published, before the stream is taken up
+		lists   map[string][]model.PromptPart
+		version string // empty if it cannot be known
+	}{
+		{"all others are known not to keep it", nil, map[string][]model.PromptPart{"a": keeps, "b": other, "c": other, "d": other}, "v1"},
+		{"one of the same version does not tell", nil, map[string][]model.PromptPart{"a": keeps, "b": nil, "c": other, "d": other}, "v1"},
+		{"one of the other version does not tell", nil, map[string][]model.PromptPart{"a": keeps, "b": other, "c": other, "d": nil}, ""},
+		{"one of the other version does not answer", nil, map[string][]model.PromptPart{"a": keeps, "b": other, "c": other}, ""},
+		{"one of the other version is gone", func(s *Store) {
+			s.SetTargets(start, snapshot(map[string]string{"a": "v1", "b": "v1", "c": "v2"}))
+		}, map[string][]model.PromptPart{"a": keeps, "b": other, "c": other}, ""},
+		{"one of the same version is gone", func(s *Store) {
+			s.SetTargets(start, snapshot(map[string]string{"a": "v1", "c": "v2", "d": "v2"}))
+		}, map[string][]model.PromptPart{"a": keeps, "c": other, "d": other}, "v1"},
+		{"the other version is gone for long", func(s *Store) {
+			s.SetTargets(start.Add(-2*initialLife), snapshot(map[string]string{"a": "v1", "b": "v1"}))
+			s.SetTargets(start, snapshot(map[string]string{"a": "v1", "b": "v1", "e": "v3"}))
+		}, map[string][]model.PromptPart{"a": keeps, "b": other, "e": other}, "v1"},
+		{"one of the other version has started again", func(s *Store) {
+			r := roster.New()
+			for id, version := range both {
+				r.Put(roster.Target{ID: id, Service: "s", Version: version, Revision: 1})
+			}
+			r.Put(roster.Target{ID: "d", Service: "s", Version: "v2", Revision: 2, Born: 1})
+			s.SetTargets(start, r.Snapshot())
+		}, map[string][]model.PromptPart{"a": keeps, "b": other, "c": other, "d": other}, ""},
+		{"one of the other version was missing and is back", func(s *Store) {
+			s.SetTargets(start, snapshot(map[string]string{"a": "v1", "b": "v1", "c": "v2"}))
+			s.SetTargets(start, snapshot(both))
+		}, map[string][]model.PromptPart{"a": keeps, "b": other, "c": other, "d": other}, "v1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New()
+			s.SetTargets(start.Add(-4*initialLife), snapshot(both))
+			if c.between != nil {
+				c.between(s)
+			}
+			s.TargetsToList(start, "s", start)
+			for id, parts := range c.lists {
+				s.RecordParts(id, parts)
+			}
+			stream := Stream{Service: "s", Key: 7, Part: part, AskedAt: start}
+			found := s.Find(start.Add(maxListTime), stream)
+			assert.Equal(t, found.Version, "v1", "the part may be the stream's own")
+			s.RecordTurn(start, "s", 6, part)
+			s.ObserveTurn("s", 7, part)
+			found = s.Find(start.Add(maxListTime), stream)
+			assert.Equal(t, found.Version, c.version)
+			assert.Equal(t, found.Verdict == Known, c.version != "")
+		})
+	}
+}
+
+func TestStreamsWithTheSameLastPartAreTurnsOfASession(t *testing.T) {
+	const part, key = 9, 7
+	for _, c := range []struct {
+		name     string
+		observe  func(s *Store)
+		sessions bool
+	}{
+		{"another stream has begun with the part", func(s *Store) {
+			s.RecordTurn(start, "s", key, part)
+			s.ObserveTurn("s", key+1, part)
+		}, true},
+		{"another stream has begun with another part", func(s *Store) {
+			s.RecordTurn(start, "s", key, part+1)
+			s.ObserveTurn("s", key+1, part)
+		}, false},
+		{"the same stream is asked for again", func(s *Store) {
+			s.RecordTurn(start, "s", key, part)
+			s.ObserveTurn("s", key, part)
+		}, false},
+		{"another stream was asked for, but has not begun", func(s *Store) {
+			s.ObserveTurn("s", key, part)
+			s.ObserveTurn("s", key+1, part)
+		}, false},
+		{"another stream has begun long ago", func(s *Store) {
+			s.RecordTurn(start.Add(-4*initialLife), "s", key, part)
+			s.RecordTurn(start.Add(-2*initialLife), "s", key, part+1)
+			s.RecordTurn(start, "s", key, part+2)
+			s.ObserveTurn("s", key+1, part)
+		}, false},
+		{"prompts without parts", func(s *Store) {
+			s.RecordTurn(start, "s", key, 0)
+			s.ObserveTurn("s", key+1, 0)
+		}, false},
+		{"targets of two versions keep the part", func(s *Store) {
+			s.RecordParts("a", []model.PromptPart{part})
+			s.RecordParts("c", []model.PromptPart{part})
+			s.ObserveKept("s", part)
+		}, true},
+		{"two targets of one version keep the part", func(s *Store) {
+			s.RecordParts("a", []model.PromptPart{part})
+			s.RecordParts("b", []model.PromptPart{part})
+			s.ObserveKept("s", part)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New()
+			s.SetTargets(start, snapshot(map[string]string{"a": "v1", "b": "v1", "c": "v2"}))
+			s.TargetsToList(start, "s", start)
+			c.observe(s)
+			assert.Equal(t, s.HasSessions("s"), c.sessions)
+		})
+	}
 }
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -67,13 +67,15 @@
 	Event(level, message string, fields ...any)
 }
 
-// Counters counts the steps of crash detection, zones that are cut off, and the changes of what
-// starting targets may be given, for metrics.
+// Counters counts the steps of crash detection, zones that are cut off, the changes of what
+// starting targets may be given, and streams that were taken up, for metrics.
 type Counters interface {
 	RecordCrashStep(step broker.CrashStep)
 	// RecordZonePath counts that a zone began or ceased to be cut off from another one's targets.
 	RecordZonePath(cut bool)
 	RecordStartChange(service string, cause warmup.Cause)
+	// RecordStreamTakenUp counts a stream that was taken up, by what its version was found.
+	RecordStreamTakenUp(service string, source origin.Source)
 }
 
 // Settings are the parameters of New.
@@ -100,7 +102,7 @@
 	// SetReading starts or stops this host's reading of the store; may be nil.
 	SetReading func(on bool)
 	// ListParts asks a target for the parts of prompts that it keeps; may be nil.
-	ListParts func(ctx context.Context, target netip.AddrPort) ([]model.PromptPart, error)
+	ListParts func(ctx context.Context, target *roster.Target) ([]model.PromptPart, error)
 }
 
 // View is an immutable snapshot of the state needed to handle requests.
@@ -297,6 +299,7 @@
 	c.logCuts()
 	c.logSilence()
 	c.logStarts()
+	c.logStreams()
 	c.flushCrashes(now)
 	c.flushNotices(now)
 	c.flushDepartures(now)
--- a/io/coord/parts.go
+++ b/io/coord/parts.go
@@ -25,7 +25,7 @@
 func (c *Coordinator) listPartsOf(t *roster.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
-	parts, err := c.settings.ListParts(ctx, t.Address)
+	parts, err := c.settings.ListParts(ctx, t)
 	c.post(func(now time.Time) {
 		c.settings.Log.Event("info", "parts listed", "Target", t.ID, "TargetVersion", t.Version, "Parts", len(parts), "Error", err)
 		c.broker.RecordParts(now, t.ID, parts)
--- a/io/edge/counts.go
+++ b/io/edge/counts.go
@@ -14,6 +14,7 @@
 
 	"yuccadoor/core/broker"
 	"yuccadoor/core/burn"
+	"yuccadoor/core/origin"
 	"yuccadoor/core/warmup"
 	"yuccadoor/io/coord"
 	"yuccadoor/io/gate"
@@ -157,6 +158,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yuccadoor_slow_start_changes_total{service=%q,cause=%q}`, service, cause)).Inc()
 }
 
+// RecordStreamTakenUp implements coord.Counters.
+func (m *hostMetrics) RecordStreamTakenUp(service string, source origin.Source) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yuccadoor_streams_taken_up_total{service=%q,known_by=%q}`, service, source)).Inc()
+}
+
 // Sent implements mesh.Counters.
 func (m *hostMetrics) Sent(_ string, bytes int) {
 	m.set.GetOrCreateCounter("yuccadoor_peer_sent_bytes_total").Add(bytes)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -25,6 +25,7 @@
 	"yuccadoor/core/kernel"
 	"yuccadoor/core/model"
 	"yuccadoor/core/quota"
+	"yuccadoor/core/roster"
 	"yuccadoor/core/spread"
 	"yuccadoor/core/warmup"
 	"yuccadoor/io/accept"
@@ -106,7 +107,7 @@
 	Source  SourceFunc
 	Dial    conns.DialFunc // to targets; nil for TCP
 	// ListParts asks a target for the parts of prompts that it keeps; may be nil.
-	ListParts func(ctx context.Context, target netip.AddrPort) ([]model.PromptPart, error)
+	ListParts func(ctx context.Context, target *roster.Target) ([]model.PromptPart, error)
 	Now       func() time.Time
 }
 
