Records of streams are kept by several hosts

Often the killed host leads again once it is back, and knows nothing either.

Where a service has had several versions within the life of a stream, each host now tells others of its streams, in batches of 50 ms: all hosts of a small fleet, and in a large one three of other zones that are neither the leader nor its successor. When a second version is published, streams that have begun before are told too. A leader without a record asks the live hosts before it asks targets; it also learns which targets are gone and which services have sessions. A host of a small fleet that has started asks two others for all records, so that losses in series lose nothing.

Heartbeats state that a host keeps records; hosts of earlier versions are sent none of the new messages. Records are held in two generations of at most 262,144, so that no number of streams takes more.

TestStreamsAreKnownAfterTheLossOfTheirHosts: the leader, the leader and the next, two of three hosts at once, five of six, the leader that leads again, each host in turn, and all but one that has just come back.

--- a/core/broker/stream.go
+++ b/core/broker/stream.go
@@ -11,9 +11,10 @@
 	"yuccadoor/core/routes"
 )
 
-// maxResolveTime is how long the version of a stream may stay unknown: one interval
-// between two listings of targets' parts, and the time that a listing takes.
-const maxResolveTime = 2 * origin.ListInterval
+// maxResolveTime is how long the version of a stream may stay unknown: until other hosts have
+// been asked, one interval between two listings of targets' parts, and the time that a
+// listing takes.
+const maxResolveTime = origin.MaxAskTime + 2*origin.ListInterval
 
 // versionState is the software version that a request needs.
 type versionState struct {
@@ -142,9 +143,19 @@
 // SetOutOfStep sets whether other hosts may know of targets that this one does not.
 func (b *Broker) SetOutOfStep(now time.Time, on bool) { b.origins.SetOutOfStep(now, on) }
 
-// MergeStreams records the streams that a host has begun under former leaders.
-func (b *Broker) MergeStreams(now time.Time, begun []origin.Begun) {
-	b.origins.Merge(now, begun)
+// Origins returns what this host knows of the versions that began streams. Callers use it on
+// the goroutine that owns the Broker.
+func (b *Broker) Origins() *origin.Store { return b.origins }
+
+// ResolveStreams determines the versions of waiting streams, after other hosts have told what
+// they know.
+func (b *Broker) ResolveStreams(now time.Time) {
+	for service, queue := range b.queues {
+		if slices.ContainsFunc(queue, func(q *queuedRequest) bool { return q.unresolved && !q.cancelled }) {
+			b.resolveAll(now, service)
+			b.unmatched[service] = true
+		}
+	}
 }
 
 // TargetsToList returns the targets that are to list the parts of prompts that they keep,
--- a/core/hosts/hosts.go
+++ b/core/hosts/hosts.go
@@ -71,6 +71,9 @@
 	Leaving     bool           `cbor:"7,keyasint,omitempty"`
 	ReadFailing bool           `cbor:"8,keyasint,omitempty"` // its attempts to read the published facts fail
 	Known       int            `cbor:"9,keyasint,omitempty"` // hosts that it knows, with itself; 0 if not stated
+	// KeepsStreams is set if the host keeps records of the streams of other hosts, and can be
+	// asked for them.
+	KeepsStreams bool `cbor:"10,keyasint,omitempty"`
 }
 
 // StartBucket returns the value of Heartbeat.Started for a start time.
@@ -181,6 +184,9 @@
 	changed := !h.alive(m, now) || m.heartbeat.Leaving != b.Leaving || m.heartbeat.Incarnation != b.Incarnation
 	if m.heartbeat.Incarnation != b.Incarnation {
 		m.distrustedSince = time.Time{}
+	} else {
+		// Hosts of earlier versions forward heartbeats without this.
+		b.KeepsStreams = b.KeepsStreams || m.heartbeat.KeepsStreams
 	}
 	m.heartbeat, m.lastHeard = b, now
 	return changed
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -43,7 +44,7 @@
 // Verdicts.
 const (
 	Known   Verdict = "Known"
-	Pending Verdict = "Pending" // the service's targets have not listed their parts yet
+	Pending Verdict = "Pending" // other hosts, or the service's targets, have not told yet
 	Unknown Verdict = "Unknown"
 )
 
@@ -62,63 +63,14 @@
 	Verdict Verdict
 	Version string
 	Source  Source
-	Age     time.Duration // of the record
+	Host    netip.AddrPort // that told of the record; invalid if this one made it
+	Age     time.Duration  // of the record
 	// Suspects are the versions of targets that may have begun the stream though they no
 	// longer tell. Where streams are turns of sessions, they leave its version unknown.
 	Suspects []string
 	Sessions bool
 }
 
-// Begun is a stream that a host has begun, as reported to a new leader.
-type Begun struct {
-	Key     uint64        `cbor:"1,keyasint,omitempty"`
-	Version string        `cbor:"2,keyasint,omitempty"`
-	Age     time.Duration `cbor:"3,keyasint,omitempty"` // since its last request was granted
-}
-
-// Log holds the versions of streams for as long as they may go on.
-type Log struct {
-	life    time.Duration // longest time between two requests of a stream
-	streams map[uint64]record
-	sweptAt time.Time
-}
-
-type record struct {
-	version string
-	at      time.Time
-}
-
-// NewLog returns an empty log.
-func NewLog() *Log { return &Log{life: initialLife, streams: map[uint64]record{}} }
-
-// SetLife sets the longest time that a request for a stream may take.
-func (l *Log) SetLife(longest time.Duration) { l.life = lifeFactor*longest + lifeMargin }
-
-// Record records the version to which a request for a stream is sent. Until its first
-// event has come, the last version counts.
-func (l *Log) Record(now time.Time, key uint64, version string) {
-	if key == 0 {
-		return
-	}
-	l.streams[key] = record{version, now}
-	if now.Sub(l.sweptAt) < l.life {
-		return
-	}
-	l.sweptAt = now
-	maps.DeleteFunc(l.streams, func(_ uint64, r record) bool { return now.Sub(r.at) > l.life })
-}
-
-// Begun returns all streams that may go on.
-func (l *Log) Begun(now time.Time) []Begun {
-	var begun []Begun
-	for key, r := range l.streams {
-		if age := now.Sub(r.at); age <= l.life {
-			begun = append(begun, Begun{key, r.version, age})
-		}
-	}
-	return begun
-}
-
 // Store is what the leader knows of all streams.
 type Store struct {
 	log     *Log
@@ -130,8 +82,10 @@
 	seen     map[string]map[string]time.Time
 	listings map[string]listing // by target
 	// lost holds the processes of targets that were published and are gone.
-	lost  map[process]lostProcess
-	turns *turns
+	lost       map[process]lostProcess
+	turns      *turns
+	otherHosts int
+	questions  map[uint64]*question // to other hosts, by stream
 }
 
 // process is one run of a target.
@@ -158,7 +112,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{log: NewLog(), targets: roster.New().Snapshot(), seen: map[string]map[string]time.Time{}, listings: map[string]listing{}, lost: map[process]lostProcess{}, turns: newTurns()}
+	return &Store{log: NewLog(), targets: roster.New().Snapshot(), seen: map[string]map[string]time.Time{}, listings: map[string]listing{}, lost: map[process]lostProcess{}, turns: newTurns(), questions: map[uint64]*question{}}
 }
 
 // SetLife sets the longest time that a request for a stream may take.
@@ -187,10 +141,17 @@
 
 func (s *Store) markSeen(now time.Time) {
 	for _, t := range s.targets.Targets {
-		if s.seen[t.Service] == nil {
-			s.seen[t.Service] = map[string]time.Time{}
-		}
-		s.seen[t.Service][t.Version] = now
+		s.markVersion(t.Service, t.Version, now)
+	}
+}
+
+// markVersion records that a version of a service was published at a time.
+func (s *Store) markVersion(service, version string, at time.Time) {
+	if s.seen[service] == nil {
+		s.seen[service] = map[string]time.Time{}
+	}
+	if at.After(s.seen[service][version]) {
+		s.seen[service][version] = at
 	}
 }
 
@@ -211,24 +172,25 @@
 // Record records the version to which a request for a stream is sent.
 func (s *Store) Record(now time.Time, key uint64, version string) { s.log.Record(now, key, version) }
 
-// Merge records the streams that a host has begun under former leaders.
-func (s *Store) Merge(now time.Time, begun []Begun) {
-	for _, b := range begun {
-		if at := now.Add(-b.Age); b.Key != 0 && at.After(s.log.streams[b.Key].at) {
-			s.log.streams[b.Key] = record{b.Version, at}
-		}
-	}
+// Merge records what another host knows of streams.
+func (s *Store) Merge(now time.Time, from netip.AddrPort, begun []Begun) {
+	s.log.Merge(now, from, begun)
 }
 
 // Find returns the version that began a stream: as recorded, as the only one that can
 // have begun it, or as that of the targets that keep its prompt.
 func (s *Store) Find(now time.Time, stream Stream) Finding {
-	if r, ok := s.log.streams[stream.Key]; ok && stream.Key != 0 && now.Sub(r.at) <= s.log.life {
-		return Finding{Verdict: Known, Version: r.version, Source: ByRecord, Age: now.Sub(r.at)}
+	if r, ok := s.log.get(now, stream.Key); ok {
+		return Finding{Verdict: Known, Version: r.version, Source: ByRecord, Host: r.host, Age: now.Sub(r.at)}
 	}
 	version, ok := s.onlyVersion(now, stream.Service)
+	ok = ok && !s.outOfStep
 	switch {
-	case ok && !s.outOfStep && (s.knowsAll(now) || stream.Part == 0):
+	case ok && s.knowsAll(now):
+		return Finding{Verdict: Known, Version: version, Source: ByService}
+	case s.awaitsHosts(now, stream):
+		return Finding{Verdict: Pending}
+	case ok && stream.Part == 0:
 		// Without a prompt, nothing else can tell: a host that has just started goes by
 		// what it has seen.
 		return Finding{Verdict: Known, Version: version, Source: ByService}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -10,6 +11,9 @@
 	"yuccadoor/core/roster"
 )
 
+// peer is another host.
+var peer = netip.MustParseAddrPort("10.0.0.2:9")
+
 var start = time.Unix(1_700_000_000, 0)
 
 // snapshot returns published targets, given as versions of a service by id.
@@ -49,10 +53,10 @@
 			s.Record(now, key, "v1")
 			s.Record(now, key, "v2")
 		}, 0, "v2", Known},
-		{"reported by its host", mixed, 0, func(s *Store, now time.Time) { s.Merge(now, []Begun{{key, "v2", time.Second}}) }, 0, "v2", Known},
+		{"reported by its host", mixed, 0, func(s *Store, now time.Time) { s.Merge(now, peer, []Begun{{key, "v2", time.Second}}) }, 0, "v2", Known},
 		{"a late report does not replace a record", mixed, 0, func(s *Store, now time.Time) {
 			s.Record(now, key, "v1")
-			s.Merge(now, []Begun{{key, "v2", time.Second}})
+			s.Merge(now, peer, []Begun{{key, "v2", time.Second}})
 		}, 0, "v1", Known},
 		{"only version for long", map[string]string{"a": "v1"}, 2 * initialLife, nil, 0, "v1", Known},
 		{"only version, as far as a host that has just started knows", map[string]string{"a": "v1"}, 0, nil, part, "", Pending},
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -174,10 +174,10 @@
 	stopping          bool
 	restrictions      *notice.Restrictions // which targets this host must not use, from their notices
 	sharedNotices     []notice.Notice      // not yet sent to other hosts
-	streams           *origin.Log          // resumable streams of this host
-	returns           admit.Log            // what callers of this host were told to come back for
-	departures        []roster.Departure   // read from the store, not yet sent to other hosts
-	loads             *speed.Outbox        // what targets stated of their load to this host
+	streams           streamRecords
+	returns           admit.Log          // what callers of this host were told to come back for
+	departures        []roster.Departure // read from the store, not yet sent to other hosts
+	loads             *speed.Outbox      // what targets stated of their load to this host
 	speedsLoggedAt    time.Time
 }
 
@@ -193,6 +193,7 @@
 	now := s.Now()
 	self := hosts.Heartbeat{
 		Address: s.Self, Zone: s.Zone, Incarnation: s.Incarnation, CPUShare: s.CPUShare, Started: hosts.StartBucket(now),
+		KeepsStreams: true,
 	}
 	c := &Coordinator{
 		settings: s, events: ring.NewEventLoop(eventQueueSize), initialized: make(chan struct{}),
@@ -200,7 +201,7 @@
 		roster: roster.New(), broker: broker.New(s.Tolerance, s.Incarnation),
 		usage:   quota.NewUsage(now, s.Tolerance.Window),
 		pending: map[uint64]*pendingRequest{}, running: map[uint64]grantedRequest{},
-		peersAhead: map[netip.AddrPort]announcement{}, streams: origin.NewLog(), loads: speed.NewOutbox(),
+		peersAhead: map[netip.AddrPort]announcement{}, streams: newStreamRecords(now), loads: speed.NewOutbox(),
 		probedAt: map[netip.AddrPort]time.Time{}, clientHosts: map[netip.AddrPort]bool{}, nextID: rand.Uint64() >> 16,
 		lastBootTime: s.BootTime(), lastRunAt: now,
 	}
@@ -261,6 +262,9 @@
 	c.fetchFromPeer(now)
 	c.broker.Tick(now)
 	c.logSpeeds(now)
+	c.updateVersions(now)
+	c.broker.Origins().SetOtherHosts(len(c.hosts.RecordKeepers(now)))
+	c.copyStreams(now)
 	c.listParts(now)
 }
 
@@ -303,6 +307,8 @@
 	c.flushCrashes(now)
 	c.flushNotices(now)
 	c.flushDepartures(now)
+	c.tellStreams(now)
+	c.askForStreams(now)
 }
 
 // broadcast sends a message to all other hosts that are alive.
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -25,6 +25,7 @@
 	mu          sync.Mutex
 	hosts       map[netip.AddrPort]*Coordinator // guarded by mu
 	partitioned map[netip.AddrPort]bool         // guarded by mu; hosts that reach no other
+	sent        map[string]int                  // guarded by mu; messages by method; nil if not counted
 }
 
 // setPartitioned partitions a host from the others, or heals the partition.
@@ -48,6 +49,9 @@
 	}
 	e.network.mu.Lock()
 	c := e.network.hosts[to]
+	if e.network.sent != nil {
+		e.network.sent[method]++
+	}
 	if e.network.partitioned[to] || e.network.partitioned[e.self] {
 		c = nil
 	}
--- a/io/coord/facts.go
+++ b/io/coord/facts.go
@@ -31,6 +31,7 @@
 	methodCrashes  = "Crashes"
 	methodNotices  = "Notices"
 	methodDeparted = "Departed"
+	methodStreams  = "Streams"
 )
 
 // HeartbeatMessage carries heartbeats of hosts, the sender's first, and states which
@@ -99,6 +100,8 @@
 		return decodePacked(params, func(now time.Time, n []notice.Notice) { c.applyNotices(now, from, n) })
 	case methodDeparted:
 		return decodePacked(params, func(now time.Time, d []roster.Departure) { c.applyDepartures(now, d) })
+	case methodStreams:
+		return decodePacked(params, func(now time.Time, m StreamRecords) { c.handleStreams(now, from, m, now.Sub(received)) })
 	case methodResync:
 		return func(time.Time) {
 			if from == c.leader {
--- a/io/coord/feed.go
+++ b/io/coord/feed.go
@@ -26,7 +26,7 @@
 		"Routes", len(config.Routes), "Behind", behind)
 	c.config, c.encoded = config, nil
 	c.broker.SetConfig(now, config)
-	c.streams.SetLife(broker.LongestStream(config))
+	c.streams.own.SetLife(broker.LongestStream(config))
 	c.publish()
 	c.announceConfig(now)
 }
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -227,7 +227,7 @@
 	leader := process{c.leader, c.hosts.Incarnation(c.leader)}
 	known := leader == c.usageSentTo
 	c.usageSentTo = leader
-	s := HostState{Notices: c.broker.HandoverNotices(now, c.self()), Streams: c.streams.Begun(now), Loads: c.loads.Handover(now)}
+	s := HostState{Notices: c.broker.HandoverNotices(now, c.self()), Streams: c.streams.own.Begun(now), Loads: c.loads.Handover(now)}
 	if !known {
 		s.QuotaUsage, s.Returns = c.usage.Entries(now), c.returns.Pending(now)
 	}
@@ -252,7 +252,7 @@
 	c.clientHosts[host] = true
 	c.broker.Charge(now, s.QuotaUsage)
 	c.applyNotices(now, host, s.Notices)
-	c.broker.MergeStreams(now, s.Streams)
+	c.broker.Origins().Merge(now.Add(-max(age, 0)), host, s.Streams)
 	c.observeLoads(now, s.Loads, age)
 	c.broker.RestoreReturns(now.Add(-age), s.Returns)
 	c.broker.Sync(now, host, s.Running, aged(s.Requests, age))
@@ -358,7 +358,7 @@
 		}
 		c.running[g.ID] = run
 		if t := c.roster.Snapshot().Targets[g.Target]; t != nil {
-			c.streams.Record(c.settings.Now(), p.request.Stream, t.Version)
+			c.recordStream(c.settings.Now(), p.request.Stream, p.request.Service, t.Version)
 		}
 		p.decision <- Decision{Target: g.Target}
 	}
