A grant is no record of a stream until its host has told of it

The host that began it had heard no other host for a moment: it had not heard of the leader's grant, led itself and sent the request to the other version.

Where a service has several versions, a grant counts once the host has told of the stream; until then other hosts and the targets' lists are asked. Grants to hosts of versions that do not tell count as before. Targets are asked for lists only when the hosts have answered.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -474,6 +474,6 @@
 	t.running++
 	delete(b.waiting, q.requestKey)
 	b.addRun(q.requestKey, &run{target: t.published.ID, queued: q, parts: q.request.SharedParts, backlog: backlog, grantedAt: now})
-	b.origins.Record(now, q.request.Stream, t.published.Version)
+	b.origins.RecordGrant(now, q.request.Stream, t.published.Version, q.host)
 	b.grants[q.host] = append(b.grants[q.host], Grant{ID: q.request.ID, Target: t.published.ID})
 }
--- a/core/broker/stream.go
+++ b/core/broker/stream.go
@@ -67,9 +67,7 @@
 		return true
 	}
 	waited := now.Sub(q.queuedAt)
-	finding := b.origins.Find(now, origin.Stream{
-		Service: q.request.Service, Key: q.request.Stream, Part: q.request.LastPart, AskedAt: q.queuedAt,
-	})
+	finding := b.origins.Find(now, q.stream())
 	if finding.Verdict == origin.Pending && waited < maxResolveTime {
 		return true
 	}
@@ -83,16 +81,16 @@
 	return true
 }
 
+// stream returns the stream that a request continues.
+func (q *queuedRequest) stream() origin.Stream {
+	return origin.Stream{Service: q.request.Service, Key: q.request.Stream, Part: q.request.LastPart, AskedAt: q.queuedAt}
+}
+
 // resolveAll determines the versions of waiting requests, and refuses those whose version
 // cannot be known or has no target left.
 func (b *Broker) resolveAll(now time.Time, service string) {
 	queue := b.queues[service]
 	b.work += uint64(len(queue))
-	for _, q := range queue {
-		if q.unresolved && !q.cancelled {
-			b.origins.ObserveKept(service, q.request.LastPart)
-		}
-	}
 	b.queues[service] = slices.DeleteFunc(queue, func(q *queuedRequest) bool { return q.cancelled || !b.checkVersion(now, q) })
 }
 
@@ -159,12 +157,12 @@
 }
 
 // TargetsToList returns the targets that are to list the parts of prompts that they keep,
-// so that versions of waiting streams can be told.
+// so that versions of waiting streams can be told that no host knows.
 func (b *Broker) TargetsToList(now time.Time) []*roster.Target {
 	var targets []*roster.Target
 	for service, queue := range b.queues {
 		for _, q := range queue {
-			if q.unresolved && !q.cancelled {
+			if q.unresolved && !q.cancelled && !b.origins.AwaitsHosts(now, q.stream()) {
 				targets = append(targets, b.origins.TargetsToList(now, service, q.queuedAt)...)
 			}
 		}
@@ -176,6 +174,11 @@
 func (b *Broker) RecordParts(now time.Time, target string, parts []model.PromptPart) {
 	b.origins.RecordParts(target, parts)
 	if t := b.roster.Targets[target]; t != nil {
+		for _, q := range b.queues[t.Service] {
+			if q.unresolved && !q.cancelled {
+				b.origins.ObserveKept(t.Service, q.request.LastPart)
+			}
+		}
 		b.resolveAll(now, t.Service)
 		b.unmatched[t.Service] = true
 	}
--- a/core/hosts/keepers.go
+++ b/core/hosts/keepers.go
@@ -9,8 +9,7 @@
 	"yuccadoor/core/place"
 )
 
-// farKeepers is the number of hosts that keep the records of a host of a large fleet, in
-// addition to the leader. They are of different zones, none of them its own, if possible.
+// farKeepers is the number of hosts that keep the records of a host of a large fleet. They are of different zones, none of them its own, if possible.
 const farKeepers = 3
 
 // RecordKeepers returns the live hosts that other hosts can ask for records of streams.
@@ -18,6 +17,17 @@
 	return slices.DeleteFunc(h.Alive(now), func(a netip.AddrPort) bool { return !h.members[a].heartbeat.KeepsStreams })
 }
 
+// Telling returns the hosts, dead ones too, that tell others of their streams.
+func (h *Hosts) Telling() []netip.AddrPort {
+	var telling []netip.AddrPort
+	for a, m := range h.members {
+		if m.heartbeat.KeepsStreams {
+			telling = append(telling, a)
+		}
+	}
+	return telling
+}
+
 // OldestKeepers returns the hosts of RecordKeepers, those that started first before others.
 func (h *Hosts) OldestKeepers(now time.Time) []netip.AddrPort {
 	keepers := h.RecordKeepers(now)
@@ -27,14 +37,14 @@
 	return keepers
 }
 
-// OwnKeepers returns the hosts that keep the records of this one, beside the leader, which has
-// them: all others in a small fleet, so that any one is enough, otherwise farKeepers. The
-// successor is not among those, since it may be lost with the leader.
+// OwnKeepers returns the hosts that keep the records of this one: all others in a small fleet,
+// so that any one is enough, otherwise farKeepers. Neither the leader, which knows its grants,
+// nor its successor, which may be lost with it, is among those.
 func (h *Hosts) OwnKeepers(now time.Time) []netip.AddrPort {
 	keepers := h.RecordKeepers(now)
 	leader, _ := h.leader(now)
 	if h.IsSmall() {
-		return slices.DeleteFunc(keepers, func(a netip.AddrPort) bool { return a == leader })
+		return keepers
 	}
 	successor, _ := h.bestExcept(now, leader)
 	var far, near []candidate
--- a/core/hosts/keepers_test.go
+++ b/core/hosts/keepers_test.go
@@ -31,8 +31,8 @@
 		keeps  func(n int) bool
 		want   int
 	}{
-		{"two hosts: the leader has the records", 1, all, 0},
-		{"small fleet: all but the leader", 7, all, 6},
+		{"two hosts", 1, all, 1},
+		{"small fleet: all others", 7, all, 7},
 		{"small fleet of two versions: none that does not know them", 7, func(n int) bool { return n%2 == 0 }, 3},
 		{"large fleet", 300, all, farKeepers},
 		{"large fleet in which few keep records", 300, func(n int) bool { return n == 100 || n == 200 }, 2},
@@ -40,11 +40,10 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h, now := keeping(c.others, c.keeps)
-			leader, _ := h.Leader(now)
 			keepers := h.OwnKeepers(now)
 			assert.Equal(t, len(keepers), c.want)
 			for _, a := range keepers {
-				assert.Assert(t, a != leader && a != h.self.Address && h.members[a].heartbeat.KeepsStreams)
+				assert.Assert(t, a != h.self.Address && h.members[a].heartbeat.KeepsStreams)
 			}
 		})
 	}
--- a/core/origin/ask.go
+++ b/core/origin/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"time"
 )
 
@@ -27,12 +28,18 @@
 	waiting int       // hosts that have not answered
 }
 
-// SetOtherHosts sets the number of hosts that can be asked for streams.
-func (s *Store) SetOtherHosts(n int) { s.otherHosts = n }
+// SetOtherHosts sets the other hosts that tell of their streams, and the number of those that
+// are alive and can be asked.
+func (s *Store) SetOtherHosts(telling []netip.AddrPort, alive int) {
+	s.telling, s.otherHosts = make(map[netip.AddrPort]bool, len(telling)), alive
+	for _, h := range telling {
+		s.telling[h] = true
+	}
+}
 
-// awaitsHosts reports whether other hosts may still tell the version of a stream. It has them
+// AwaitsHosts reports whether other hosts may still tell the version of a stream. It has them
 // asked if they were not yet.
-func (s *Store) awaitsHosts(now time.Time, stream Stream) bool {
+func (s *Store) AwaitsHosts(now time.Time, stream Stream) bool {
 	if s.otherHosts == 0 || stream.Key == 0 {
 		return false
 	}
--- a/core/origin/log.go
+++ b/core/origin/log.go
@@ -31,7 +31,10 @@
 // source is a version and where a record of it comes from.
 type source struct {
 	version string
-	host    netip.AddrPort // that told this one; invalid if this host recorded it itself
+	host    netip.AddrPort // that told this one, or was granted a target; invalid if this host sent the request
+	// granted is set if this host, as the leader, has granted a target, and the host that asked
+	// has not told of it yet: it may not have heard of the grant, and sent its request elsewhere.
+	granted bool
 }
 
 type record struct {
@@ -55,14 +58,24 @@
 	}
 }
 
+// RecordGrant records the version of a target that a host was granted for a stream, until the
+// host tells of it.
+func (l *Log) RecordGrant(now time.Time, key uint64, version string, to netip.AddrPort) {
+	if key != 0 {
+		l.put(now, key, source{version, to, true}, now)
+	}
+}
+
 // Merge records what another host knows of streams, unless newer records are known.
 func (l *Log) Merge(now time.Time, from netip.AddrPort, begun []Begun) {
 	for _, b := range begun {
 		at := now.Add(-max(b.Age, 0))
-		if r, ok := l.get(now, b.Key); b.Key == 0 || ok && at.Before(r.at) || now.Sub(at) > l.life {
+		r, ok := l.get(now, b.Key)
+		confirms := ok && r.granted && r.version == b.Version
+		if b.Key == 0 || ok && at.Before(r.at) && !confirms || now.Sub(at) > l.life {
 			continue
 		}
-		l.put(now, b.Key, source{b.Version, from}, at)
+		l.put(now, b.Key, source{version: b.Version, host: from}, at)
 	}
 }
 
@@ -116,11 +129,11 @@
 // Begun returns all streams that may go on.
 func (l *Log) Begun(now time.Time) []Begun { return l.Find(now, l.Keys(now)) }
 
-// Find returns what is known of streams, without those that are not.
+// Find returns what is known of streams. Grants that were not confirmed are left out.
 func (l *Log) Find(now time.Time, keys []uint64) []Begun {
 	var begun []Begun
 	for _, key := range keys {
-		if r, ok := l.get(now, key); ok {
+		if r, ok := l.get(now, key); ok && !r.granted {
 			begun = append(begun, Begun{key, r.version, now.Sub(r.at)})
 		}
 	}
--- a/core/origin/log_test.go
+++ b/core/origin/log_test.go
@@ -11,6 +11,9 @@
 	"yuccadoor/core/model"
 )
 
+// other is a second other host.
+var other = netip.MustParseAddrPort("10.0.0.3:9")
+
 // Guards against a flood of streams that takes memory without bound.
 func TestRecordsAreBounded(t *testing.T) {
 	l := NewLog()
@@ -100,7 +103,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := New()
 			s.SetTargets(start, mixed)
-			s.SetOtherHosts(2)
+			s.SetOtherHosts([]netip.AddrPort{peer, other}, 2)
 			stream := Stream{Service: "s", Key: key, Part: part, AskedAt: start}
 			assert.Equal(t, s.Find(start, stream).Verdict, Pending)
 			assert.DeepEqual(t, s.TakeQuestions(start, 2), []uint64{key})
@@ -121,7 +124,7 @@
 func TestHostsAreAskedAgainForAStreamThatIsTakenUpAgain(t *testing.T) {
 	s := New()
 	s.SetTargets(start, snapshot(map[string]string{"a": "v1", "c": "v2"}))
-	s.SetOtherHosts(1)
+	s.SetOtherHosts([]netip.AddrPort{peer}, 1)
 	stream := Stream{Service: "s", Key: 7, AskedAt: start}
 	s.Find(start, stream)
 	s.TakeQuestions(start, 1)
@@ -138,7 +141,7 @@
 func TestQuestionsAreBounded(t *testing.T) {
 	s := New()
 	s.SetTargets(start, snapshot(map[string]string{"a": "v1", "c": "v2"}))
-	s.SetOtherHosts(1)
+	s.SetOtherHosts([]netip.AddrPort{peer}, 1)
 	for key := range uint64(2 * maxQuestions) {
 		s.Find(start, Stream{Service: "s", Key: key + 1, AskedAt: start})
 	}
@@ -158,3 +161,38 @@
 	assert.DeepEqual(t, Ungroup(groups), []Begun{{1, "v1", time.Second}, {3, "v1", 2 * time.Millisecond}, {2, "v2", 0}, {4, "v2", 0}, {1 << 63, "", time.Hour}})
 	assert.Equal(t, len(Ungroup([]Group{{Version: "v1", Keys: []uint64{1, 2}, Ages: []uint32{1}}})), 1)
 }
+
+// Guards against a grant that its host has not heard of: the host led itself meanwhile and sent
+// the stream elsewhere, and the leader had it go on at the version that it had granted.
+func TestGrantIsNoRecordUntilItsHostHasTold(t *testing.T) {
+	const key = 7
+	for _, c := range []struct {
+		name    string
+		targets map[string]string
+		telling []netip.AddrPort
+		told    []Begun
+		verdict Verdict
+		version string
+	}{
+		{"not told yet", map[string]string{"a": "v1", "c": "v2"}, []netip.AddrPort{peer}, nil, Unknown, ""},
+		{"told", map[string]string{"a": "v1", "c": "v2"}, []netip.AddrPort{peer}, []Begun{{key, "v1", 0}}, Known, "v1"},
+		{"told, by a clock that is behind", map[string]string{"a": "v1", "c": "v2"}, []netip.AddrPort{peer}, []Begun{{key, "v1", 2 * time.Second}}, Known, "v1"},
+		{"sent elsewhere", map[string]string{"a": "v1", "c": "v2"}, []netip.AddrPort{peer}, []Begun{{key, "v2", 0}}, Known, "v2"},
+		{"granted once more since", map[string]string{"a": "v1", "c": "v2"}, []netip.AddrPort{peer}, []Begun{{key, "v2", 2 * time.Second}}, Unknown, ""},
+		{"the host is of a version that does not tell", map[string]string{"a": "v1", "c": "v2"}, nil, nil, Known, "v1"},
+		{"one version", map[string]string{"a": "v1"}, []netip.AddrPort{peer}, nil, Known, "v1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New()
+			s.SetTargets(start, snapshot(c.targets))
+			s.SetOtherHosts(c.telling, 0)
+			s.RecordGrant(start, key, "v1", peer)
+			now := start.Add(time.Second)
+			s.Merge(now, peer, c.told)
+			found := s.Find(now, Stream{Service: "s", Key: key, AskedAt: now})
+			assert.Equal(t, found.Verdict, c.verdict)
+			assert.Equal(t, found.Version, c.version)
+			assert.Equal(t, len(s.FindBegun(now, []uint64{key})) == 1, c.verdict == Known && (len(c.told) > 0 || c.telling == nil))
+		})
+	}
+}
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -80,12 +80,14 @@
 	outOfStep bool
 	// seen is when a version of a service was last published, by service.
 	seen     map[string]map[string]time.Time
+	markedAt time.Time          // when seen was last brought up to date
 	listings map[string]listing // by target
 	// lost holds the processes of targets that were published and are gone.
 	lost       map[process]lostProcess
 	turns      *turns
-	otherHosts int
-	questions  map[uint64]*question // to other hosts, by stream
+	telling    map[netip.AddrPort]bool // hosts that tell others of their streams
+	otherHosts int                     // of these, those that are alive
+	questions  map[uint64]*question    // to other hosts, by stream
 }
 
 // process is one run of a target.
@@ -134,12 +136,17 @@
 	}
 	s.markSeen(now) // the former ones were published until now
 	s.markLost(now, targets)
-	s.targets = targets
+	s.targets, s.markedAt = targets, time.Time{}
 	s.markSeen(now)
 	maps.DeleteFunc(s.listings, func(id string, _ listing) bool { return targets.Targets[id] == nil })
 }
 
+// markSeen records that the versions of the present targets are published now.
 func (s *Store) markSeen(now time.Time) {
+	if now.Equal(s.markedAt) {
+		return
+	}
+	s.markedAt = now
 	for _, t := range s.targets.Targets {
 		s.markVersion(t.Service, t.Version, now)
 	}
@@ -172,6 +179,16 @@
 // Record records the version to which a request for a stream is sent.
 func (s *Store) Record(now time.Time, key uint64, version string) { s.log.Record(now, key, version) }
 
+// RecordGrant records the version of a target that a host was granted for a stream. If the
+// host tells others of its streams, the record counts once it has told.
+func (s *Store) RecordGrant(now time.Time, key uint64, version string, to netip.AddrPort) {
+	if s.telling[to] {
+		s.log.RecordGrant(now, key, version, to)
+		return
+	}
+	s.log.Record(now, key, version)
+}
+
 // Merge records what another host knows of streams.
 func (s *Store) Merge(now time.Time, from netip.AddrPort, begun []Begun) {
 	s.log.Merge(now, from, begun)
@@ -180,7 +197,7 @@
 // Find returns the version that began a stream: as recorded, as the only one that can
 // have begun it, or as that of the targets that keep its prompt.
 func (s *Store) Find(now time.Time, stream Stream) Finding {
-	if r, ok := s.log.get(now, stream.Key); ok {
+	if r, ok := s.log.get(now, stream.Key); ok && (!r.granted || !s.WithSeveralVersions(now)[stream.Service]) {
 		return Finding{Verdict: Known, Version: r.version, Source: ByRecord, Host: r.host, Age: now.Sub(r.at)}
 	}
 	version, ok := s.onlyVersion(now, stream.Service)
@@ -188,7 +205,7 @@
 	switch {
 	case ok && s.knowsAll(now):
 		return Finding{Verdict: Known, Version: version, Source: ByService}
-	case s.awaitsHosts(now, stream):
+	case s.AwaitsHosts(now, stream):
 		return Finding{Verdict: Pending}
 	case ok && stream.Part == 0:
 		// Without a prompt, nothing else can tell: a host that has just started goes by
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -263,7 +263,7 @@
 	c.broker.Tick(now)
 	c.logSpeeds(now)
 	c.updateVersions(now)
-	c.broker.Origins().SetOtherHosts(len(c.hosts.RecordKeepers(now)))
+	c.broker.Origins().SetOtherHosts(c.hosts.Telling(), len(c.hosts.RecordKeepers(now)))
 	c.copyStreams(now)
 	c.listParts(now)
 }
--- a/io/coord/coord_test.go
+++ b/io/coord/coord_test.go
@@ -26,6 +26,7 @@
 	hosts       map[netip.AddrPort]*Coordinator // guarded by mu
 	partitioned map[netip.AddrPort]bool         // guarded by mu; hosts that reach no other
 	sent        map[string]int                  // guarded by mu; messages by method; nil if not counted
+	deaf        netip.AddrPort                  // guarded by mu; host that hears no other; invalid for none
 }
 
 // setPartitioned partitions a host from the others, or heals the partition.
@@ -52,7 +53,7 @@
 	if e.network.sent != nil {
 		e.network.sent[method]++
 	}
-	if e.network.partitioned[to] || e.network.partitioned[e.self] {
+	if e.network.partitioned[to] || e.network.partitioned[e.self] || e.network.deaf == to {
 		c = nil
 	}
 	e.network.mu.Unlock()
--- a/io/coord/streams.go
+++ b/io/coord/streams.go
@@ -67,6 +67,9 @@
 		return
 	}
 	c.streams.own.Record(now, key, version)
+	if c.leader == c.self() {
+		c.broker.Origins().Record(now, key, version)
+	}
 	if c.streams.several[service] {
 		c.streams.untold = append(c.streams.untold, key)
 	}
@@ -184,7 +187,7 @@
 		if e.Finding.Host.IsValid() {
 			recorder = e.Finding.Host.String()
 		}
-		c.settings.Log.Event("info", "stream taken up", "Stream", streamName(e.Stream), "Host", e.Host, "Service", e.Service,
+		c.settings.Log.Event("info", "stream taken up", "Stream", StreamName(e.Stream), "Host", e.Host, "Service", e.Service,
 			"TargetVersion", e.Version, "KnownBy", source, "Recorder", recorder, "Age", e.Age, "Suspects", strings.Join(e.Suspects, ","), "Sessions", e.Sessions, "Waited", e.Waited)
 		if c.settings.Counters != nil {
 			c.settings.Counters.RecordStreamTakenUp(e.Service, source)
@@ -192,5 +195,10 @@
 	}
 }
 
-// streamName returns the key of a stream as logs show it.
-func streamName(key uint64) string { return fmt.Sprintf("%016x", key) }
+// StreamName returns the key of a stream as logs show it; empty for none.
+func StreamName(key uint64) string {
+	if key == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016x", key)
+}
--- a/io/coord/streams_test.go
+++ b/io/coord/streams_test.go
@@ -263,3 +263,50 @@
 	assert.Equal(t, wentOn, len(f.begun))
 	assert.Equal(t, f.sentRecords(), before)
 }
+
+// setDeaf has a host hear no other, though others hear it. An invalid address ends that.
+func (f *streamFleet) setDeaf(host netip.AddrPort) {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	f.network.deaf = host
+}
+
+// Guards against a grant that its host has not heard of: the host led itself meanwhile and sent
+// the stream to another version, and the leader of the others had it go on at the one that it
+// had granted.
+func TestStreamGoesOnWhereAHostThatHeardNoOtherBeganIt(t *testing.T) {
+	const streams = 12
+	f := newStreamFleet(t, 3, "v1", "v2")
+	f.setDeaf(hostAt(1))
+	type asked struct {
+		key      uint64
+		decision <-chan Decision
+	}
+	var all []asked
+	for range streams {
+		f.nextID++
+		r := broker.Request{Stream: f.nextID << 32, Service: "lm", StartWithin: time.Second, ExpiresIn: 8 * time.Second}
+		if len(all)%2 == 0 {
+			// Of the host's streams, the leader sees every second one beside another.
+			id, d := submit(t, f.hosts[2], broker.Request{Stream: r.Stream + 1})
+			defer f.hosts[2].ReportCompletion(broker.Completion{ID: id, Target: d.Target, Outcome: broker.Broken})
+		}
+		_, decision := f.hosts[1].Submit(r)
+		all = append(all, asked{r.Stream, decision})
+		time.Sleep(tickPeriod)
+	}
+	for _, a := range all {
+		d := <-a.decision
+		assert.Assert(t, d.Target != "", "%v", d.Refusal)
+		f.begun[a.key] = f.versionOf(d.Target)
+	}
+	for _, h := range []*Coordinator{f.hosts[2], f.hosts[0]} {
+		_, elsewhere := f.takeUp(h)
+		assert.Check(t, elsewhere == 0, "%d of %d streams went on at another version", elsewhere, len(f.begun))
+	}
+	f.setDeaf(netip.AddrPort{})
+	awaitLeader(t, f.hosts[1], hostAt(0))
+	time.Sleep(recordDelay)
+	wentOn, elsewhere := f.takeUp(f.hosts[2])
+	assert.Check(t, wentOn == len(f.begun) && elsewhere == 0, "%d of %d streams went on, %d at another version", wentOn, len(f.begun), elsewhere)
+}
