--- a/io/gate/call.go
+++ b/io/gate/call.go
@@ -233,8 +233,7 @@
 		r.Workspace = c.workspace.Name
 		r.QuotaTokens = c.allowanceCost(c.workspace.Allowance)
 	}
-	if c.route.Kind == routes.Stream && c.route.Resumable {
-		r.Stream = xxhash.Sum64String(cmp.Or(c.info.Resumes, c.info.ID))
+	if r.Stream = c.streamKey(); r.Stream != 0 {
 		r.Resumed, r.LastPart = c.info.LastEventID != "", c.info.LastPart
 		r.Pinned, r.Version = c.stream.started, c.stream.version
 	}
@@ -245,6 +244,15 @@
 	return r
 }
 
+// streamKey returns the key of a resumable stream, the same for all requests by which its client
+// takes it up; 0 if the response is no such stream.
+func (c *call) streamKey() uint64 {
+	if c.route == nil || c.route.Kind != routes.Stream || !c.route.Resumable {
+		return 0
+	}
+	return xxhash.Sum64String(cmp.Or(c.info.Resumes, c.info.ID))
+}
+
 // allowanceCost returns what the request takes from its workspace's allowance, in tokens or
 // requests.
 func (c *call) allowanceCost(a routes.Allowance) float64 {
@@ -298,7 +306,7 @@
 		version = c.view.Config.Version
 	}
 	c.handler.Log.Event("info", "request ended", "Request", c.info.ID, "Content", c.content, "Parts", c.info.SharedParts, "Route", route, "Service", c.service,
-		"Workspace", o.Workspace, "Tier", tier, "Class", class, "Status", c.status, "Cause", c.cause, "Target", c.targetID, "TargetVersion", c.targetVersion, "Slowdown", c.slowdown, "Through", through, "Resumes", c.info.Resumes, "AfterEvent", c.info.LastEventID,
+		"Workspace", o.Workspace, "Tier", tier, "Class", class, "Status", c.status, "Cause", c.cause, "Target", c.targetID, "TargetVersion", c.targetVersion, "Slowdown", c.slowdown, "Through", through, "Resumes", c.info.Resumes, "Stream", coord.StreamName(c.streamKey()), "AfterEvent", c.info.LastEventID,
 		"Sends", c.sends, "Ran", c.runs, "Waited", c.queueTime, "Turn", c.expectedWait, "After", c.retryAfter,
 		"Prompt", c.info.PromptTokens, "Output", c.info.MaxOutputTokens, "Events", c.events, "Aim", objective, "First", c.timeToFirstPart, "Pause", c.maxGap, "Total", total,
 		"Version", version, "Revision", c.view.Roster.Revision, "Avoided", strings.Join(c.excludedTargets, ","))
