Test that streams are known after losses in a large fleet

There only three hosts, the leader and the host itself know what began a stream. The published configuration of the simulation gets a route of streams, its targets can be replaced.

--- a/io/coord/fleet_test.go
+++ b/io/coord/fleet_test.go
@@ -55,6 +55,8 @@
 	byAddress map[netip.AddrPort]int // guarded by mu
 	links     map[linkKey]*fleetLink // guarded by mu
 	config    *routes.Config         // guarded by mu; the published one
+	targets   []roster.Target        // guarded by mu; the published ones, as of revision
+	revision  uint64                 // guarded by mu
 	cutZone   string                 // guarded by mu; reaches no other zone; empty for none
 }
 
@@ -85,6 +87,7 @@
 		f.seeds = append(f.seeds, fleetAddress(((count-1)/bigHostEvery-n)*bigHostEvery))
 	}
 	f.publish(1)
+	f.publishTargets([]roster.Target{{ID: "t0", Service: "lm", Address: netip.MustParseAddrPort("10.9.0.1:1"), Slots: 4}})
 	for n := 0; n < count; n += bigHostEvery {
 		f.start(n)
 		time.Sleep(bigHostSpread)
@@ -137,16 +140,31 @@
 func (f *fleet) publish(version uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.config = &routes.Config{Version: version, Services: []routes.Service{{Name: "lm", Engine: true, Slots: 4}}}
+	f.config = &routes.Config{Version: version, Services: []routes.Service{{Name: "lm", Engine: true, Slots: 4}}, Routes: []routes.Route{
+		{Name: "r", Prefix: "/", Kind: routes.Stream, Resumable: true, Timeout: 30 * time.Second, Shares: []routes.Share{{Service: "lm", Weight: 1}}},
+	}}
+}
+
+// publishTargets replaces the published targets.
+func (f *fleet) publishTargets(targets []roster.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	for i := range targets {
+		targets[i].Revision = f.revision
+	}
+	f.targets = targets
 }
 
 // read plays the reader of the store on one host while reading is switched on.
 func (f *fleet) read(h *fleetHost) {
 	var config *routes.Config // the last one that was read
+	var listed uint64         // revision of the targets that were read last
 	responded := time.Now()
 	for ; ; time.Sleep(storeDelay) {
 		f.mu.Lock()
 		reading, refused, reached, published := h.reading, h.refused, !h.noStore && !h.dark, f.config
+		targets, revision := f.targets, f.revision
 		f.mu.Unlock()
 		switch {
 		case !reading:
@@ -159,8 +177,9 @@
 				h.FeedStoreState(false, nil)
 			}
 			continue
-		case config == nil:
-			h.FeedListing(roster.Position{Revision: 1}, []roster.Target{{ID: "t0", Service: "lm", Address: netip.MustParseAddrPort("10.9.0.1:1"), Slots: 4, Revision: 1}}, nil)
+		case listed < revision:
+			h.FeedListing(roster.Position{Revision: revision}, targets, nil)
+			listed = revision
 		}
 		if config != published {
 			config = published
--- a/io/coord/streams_test.go
+++ b/io/coord/streams_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -310,3 +311,74 @@
 	wentOn, elsewhere := f.takeUp(f.hosts[2])
 	assert.Check(t, wentOn == len(f.begun) && elsewhere == 0, "%d of %d streams went on, %d at another version", wentOn, len(f.begun), elsewhere)
 }
+
+// beginInFleet begins streams through each host of a large fleet, and returns the version that
+// began each, by its key.
+func beginInFleet(t *testing.T, f *fleet, perHost int) map[uint64]string {
+	begun := map[uint64]string{}
+	for i, h := range f.hosts {
+		for n := range perHost {
+			key := uint64(i+1)<<32 + uint64(n)
+			id, d := submit(t, h.Coordinator, broker.Request{Stream: key})
+			assert.Assert(t, d.Target != "", "host %d: %v", i, d.Refusal)
+			begun[key] = h.View().Roster.Targets[d.Target].Version
+			h.ReportCompletion(broker.Completion{ID: id, Target: d.Target, Outcome: broker.Broken})
+		}
+	}
+	return begun
+}
+
+// Guards against losses that take all records of a stream in a large fleet, where only some
+// hosts keep them.
+func TestStreamsAreKnownAfterLossesInALargeFleet(t *testing.T) {
+	const hosts, perHost, leaderChange = 60, 2, 10 * time.Second
+	for _, c := range []struct {
+		name   string
+		isLost func(f *fleet, n int, leader *fleetHost) bool
+		share  float64 // of the streams that must go on
+	}{
+		{"the leader", func(f *fleet, n int, leader *fleetHost) bool { return f.hosts[n] == leader }, 1},
+		{"the leader's zone", func(f *fleet, n int, leader *fleetHost) bool { return f.hosts[n].zone == leader.zone }, 1},
+		{"all hosts that may lead, but one", func(_ *fleet, n int, _ *fleetHost) bool { return n%bigHostEvery == 0 && n > 0 }, 1},
+		{"three of four hosts, the leader among them", func(f *fleet, n int, leader *fleetHost) bool { return n%4 != 0 || f.hosts[n] == leader }, 0.5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, hosts)
+				f.publishTargets([]roster.Target{
+					{ID: "t0", Service: "lm", Version: "v1", Address: netip.MustParseAddrPort("10.9.0.1:1"), Slots: 64},
+					{ID: "t1", Service: "lm", Version: "v2", Address: netip.MustParseAddrPort("10.9.0.2:1"), Slots: 64},
+				})
+				time.Sleep(8 * time.Second)
+				begun := beginInFleet(t, f, perHost)
+				time.Sleep(2 * farTellPeriod)
+				leader := f.hosts[f.byAddress[leaderOf(t, f.hosts[0].Coordinator)]]
+				var lost []*fleetHost
+				var left *fleetHost
+				for n, h := range f.hosts {
+					if c.isLost(f, n, leader) {
+						lost = append(lost, h)
+					} else {
+						left = h
+					}
+				}
+				f.set(lost, func(h *fleetHost) { h.dark = true })
+				time.Sleep(leaderChange)
+				wentOn, elsewhere := 0, 0
+				for key, version := range begun {
+					id, d := submit(t, left.Coordinator, broker.Request{Stream: key, Resumed: true})
+					if d.Target == "" {
+						continue
+					}
+					wentOn++
+					if left.View().Roster.Targets[d.Target].Version != version {
+						elsewhere++
+					}
+					left.ReportCompletion(broker.Completion{ID: id, Target: d.Target, Outcome: broker.Good, Took: time.Millisecond})
+				}
+				t.Logf("%d of %d streams went on", wentOn, len(begun))
+				assert.Check(t, float64(wentOn) >= c.share*float64(len(begun)) && elsewhere == 0, "%d of %d streams went on, %d at another version", wentOn, len(begun), elsewhere)
+			})
+		})
+	}
+}
