--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -66,9 +66,9 @@
 	Host    netip.AddrPort // that told of the record; invalid if this one made it
 	Age     time.Duration  // of the record
 	// Suspects are the versions of targets that may have begun the stream though they no
-	// longer tell. Where streams are turns of sessions, they leave its version unknown.
+	// longer tell. They leave its version unknown if Sessions is set.
 	Suspects []string
-	Sessions bool
+	Sessions bool // streams of the service are known to be turns of sessions
 }
 
 // Store is what the leader knows of all streams.
