A grant at the version that is known keeps its record

A stream that is taken up is granted a target once more, and the grant replaced what the leader knew until the next host had told: with that host lost at once, the version was unknown though it had been known.

TestGrantAtTheKnownVersionKeepsTheRecord fails without the change.

--- a/core/origin/log.go
+++ b/core/origin/log.go
@@ -59,11 +59,16 @@
 }
 
 // RecordGrant records the version of a target that a host was granted for a stream, until the
-// host tells of it.
+// host tells of it. A stream that goes on at its version is known already.
 func (l *Log) RecordGrant(now time.Time, key uint64, version string, to netip.AddrPort) {
-	if key != 0 {
-		l.put(now, key, source{version, to, true}, now)
+	if key == 0 {
+		return
+	}
+	s := source{version, to, true}
+	if r, ok := l.get(now, key); ok && !r.granted && r.version == version {
+		s = *r.source
 	}
+	l.put(now, key, s, now)
 }
 
 // Merge records what another host knows of streams, unless newer records are known.
--- a/core/origin/log_test.go
+++ b/core/origin/log_test.go
@@ -196,3 +196,20 @@
 		})
 	}
 }
+
+// Guards against forgetting what began a stream when it is taken up: its next host may be lost
+// before it tells.
+func TestGrantAtTheKnownVersionKeepsTheRecord(t *testing.T) {
+	const key = 7
+	s := New()
+	s.SetTargets(start, snapshot(map[string]string{"a": "v1", "c": "v2"}))
+	s.SetOtherHosts([]netip.AddrPort{peer, other}, 0)
+	s.Merge(start, peer, []Begun{{key, "v1", 0}})
+	now := start.Add(time.Second)
+	s.RecordGrant(now, key, "v1", other)
+	found := s.Find(now, Stream{Service: "s", Key: key, AskedAt: now})
+	assert.Equal(t, found.Version, "v1")
+	assert.Equal(t, found.Age, time.Duration(0))
+	s.RecordGrant(now, key, "v2", other)
+	assert.Equal(t, s.Find(now, Stream{Service: "s", Key: key, AskedAt: now}).Verdict, Unknown)
+}
