Hosts that were not reached are told of all streams

Records that were sent to a host that had been cut off, or to none while a host led itself, were not sent again, so that streams of that time were lost with two hosts instead of all. A host that is reached for the first time or again is told of all streams of the teller now, also a new keeper in a large fleet.

Whether there are questions for other hosts is a count, no search.

--- a/core/origin/ask.go
+++ b/core/origin/ask.go
@@ -50,21 +50,16 @@
 	case !ok:
 		q = &question{}
 		s.questions[stream.Key] = q
+		s.unasked++
 	case !q.askedAt.IsZero() && q.askedAt.Before(stream.AskedAt.Add(-askInterval)):
 		*q = question{}
+		s.unasked++
 	}
 	return q.askedAt.IsZero() || q.waiting > 0 && now.Sub(q.askedAt) < MaxAskTime
 }
 
 // HasQuestions reports whether other hosts are to be asked for streams.
-func (s *Store) HasQuestions() bool {
-	for _, q := range s.questions {
-		if q.askedAt.IsZero() {
-			return true
-		}
-	}
-	return false
-}
+func (s *Store) HasQuestions() bool { return s.unasked > 0 }
 
 // TakeQuestions returns streams that a number of other hosts are to be asked for, and takes
 // them as asked.
@@ -76,6 +71,7 @@
 	for key, q := range s.questions {
 		if len(keys) < maxAsked && q.askedAt.IsZero() {
 			q.askedAt, q.waiting = now, hosts
+			s.unasked--
 			keys = append(keys, key)
 		}
 	}
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -88,6 +88,7 @@
 	telling    map[netip.AddrPort]bool // hosts that tell others of their streams
 	otherHosts int                     // of these, those that are alive
 	questions  map[uint64]*question    // to other hosts, by stream
+	unasked    int                     // of the questions, those that no host was asked yet
 }
 
 // process is one run of a target.
--- a/io/coord/lead.go
+++ b/io/coord/lead.go
@@ -375,6 +375,7 @@
 // handleMessagesLost is called when messages to a host may not have been delivered. It asks a
 // client host to resync, and if the host is the leader, syncs with the leader again.
 func (c *Coordinator) handleMessagesLost(now time.Time, host netip.AddrPort) {
+	delete(c.streams.told, host)
 	if host == c.leader && !c.isLeaderLost(now) {
 		c.settings.Log.Event("info", "connection to leader lost", "Leader", host)
 		c.synced = false
--- a/io/coord/streams.go
+++ b/io/coord/streams.go
@@ -49,6 +49,8 @@
 	own     *origin.Log     // resumable streams of this host
 	several map[string]bool // services with several versions, of whose streams other hosts are told
 	untold  []uint64        // keys of own streams that other hosts are not told of yet
+	// told holds the hosts that were told of all other own streams.
+	told    map[netip.AddrPort]bool
 	toldAt  time.Time
 	askedAt time.Time
 	// began is when this host started, and copied are the hosts that it has asked for all
@@ -83,33 +85,49 @@
 	r.several = c.broker.Origins().WithSeveralVersions(now)
 	for service := range r.several {
 		if !former[service] {
-			r.untold = r.own.Keys(now)
-			return
+			r.told = nil
 		}
 	}
 }
 
 // tellStreams tells other hosts of this host's streams, since the leader may be lost together
-// with this host.
+// with this host. A host that was not reached before is told of all.
 func (c *Coordinator) tellStreams(now time.Time) {
 	r := &c.streams
 	period := farTellPeriod
 	if c.hosts.IsSmall() {
 		period = tellPeriod
 	}
-	if len(r.untold) == 0 || now.Sub(r.toldAt) < period {
+	if len(r.several) == 0 || now.Sub(r.toldAt) < period {
 		return
 	}
 	r.toldAt = now
-	begun := r.own.Find(now, r.untold)
-	r.untold = nil
-	keepers := c.hosts.OwnKeepers(now)
-	for part := range slices.Chunk(begun, maxRecords) {
-		m := pack.Of(StreamRecords{Begun: origin.GroupByVersion(part)})
-		for _, h := range keepers {
+	latest := packRecords(r.own.Find(now, r.untold))
+	var all []pack.Packed[StreamRecords]
+	told := map[netip.AddrPort]bool{}
+	for _, h := range c.hosts.OwnKeepers(now) {
+		messages := latest
+		if !r.told[h] {
+			if all == nil {
+				all = packRecords(r.own.Begun(now))
+			}
+			messages = all
+		}
+		for _, m := range messages {
 			c.mesh.Send(h, methodStreams, m)
 		}
+		told[h] = true
+	}
+	r.untold, r.told = nil, told
+}
+
+// packRecords returns messages with records of streams.
+func packRecords(begun []origin.Begun) []pack.Packed[StreamRecords] {
+	var messages []pack.Packed[StreamRecords]
+	for part := range slices.Chunk(begun, maxRecords) {
+		messages = append(messages, pack.Of(StreamRecords{Begun: origin.GroupByVersion(part)}))
 	}
+	return messages
 }
 
 // askForStreams asks other hosts for streams that were taken up and of which this host, the
@@ -170,8 +188,8 @@
 func (c *Coordinator) sendAllStreams(now time.Time, to netip.AddrPort) {
 	origins := c.broker.Origins()
 	c.mesh.Send(to, methodStreams, pack.Of(StreamRecords{Lost: origins.Lost(now), Sessions: origins.Sessions()}))
-	for part := range slices.Chunk(slices.Concat(origins.Begun(now), c.streams.own.Begun(now)), maxRecords) {
-		c.mesh.Send(to, methodStreams, pack.Of(StreamRecords{Begun: origin.GroupByVersion(part)}))
+	for _, m := range packRecords(slices.Concat(origins.Begun(now), c.streams.own.Begun(now))) {
+		c.mesh.Send(to, methodStreams, m)
 	}
 }
 
--- a/io/coord/streams_test.go
+++ b/io/coord/streams_test.go
@@ -207,6 +207,15 @@
 				f.restart(i)
 			}
 		}},
+		{"a host that was cut off when they began", 3, func(f *streamFleet) {
+			f.network.setPartitioned(hostAt(2), true)
+			awaitLeader(f.t, f.hosts[2], hostAt(2))
+			f.begin(2)
+			f.network.setPartitioned(hostAt(2), false)
+			awaitLeader(f.t, f.hosts[2], hostAt(0))
+			time.Sleep(2 * hostsHeard)
+			f.kill(0, 2)
+		}},
 		{"a host that is back, and then all others", 4, func(f *streamFleet) {
 			f.kill(0)
 			f.restart(0)
