--- a/core/hosts/keepers.go
+++ b/core/hosts/keepers.go
@@ -9,7 +9,8 @@
 	"yuccadoor/core/place"
 )
 
-// farKeepers is the number of hosts that keep the records of a host of a large fleet. They are of different zones, none of them its own, if possible.
+// farKeepers is the number of hosts that keep the records of a host of a large fleet. They are
+// of different zones, none of them its own, if possible.
 const farKeepers = 3
 
 // RecordKeepers returns the live hosts that other hosts can ask for records of streams.
@@ -17,7 +18,7 @@
 	return slices.DeleteFunc(h.Alive(now), func(a netip.AddrPort) bool { return !h.members[a].heartbeat.KeepsStreams })
 }
 
-// Telling returns the hosts, dead ones too, that tell others of their streams.
+// Telling returns the hosts that tell others of their streams, dead ones too.
 func (h *Hosts) Telling() []netip.AddrPort {
 	var telling []netip.AddrPort
 	for a, m := range h.members {
@@ -37,9 +38,9 @@
 	return keepers
 }
 
-// OwnKeepers returns the hosts that keep the records of this one: all others in a small fleet,
-// so that any one is enough, otherwise farKeepers. Neither the leader, which knows its grants,
-// nor its successor, which may be lost with it, is among those.
+// OwnKeepers returns the hosts that keep the records of this one: in a small fleet all others,
+// so that any one is enough, in a large fleet farKeepers of those that are neither the leader,
+// which knows its grants, nor its successor, which may be lost with it.
 func (h *Hosts) OwnKeepers(now time.Time) []netip.AddrPort {
 	keepers := h.RecordKeepers(now)
 	leader, _ := h.leader(now)
