--- /dev/null
+++ b/review/stand3/system.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"yuccadoor/platform/stand"
+)
+
+// Sizes of the deployment, and waits.
+const (
+	hostCount    = 3
+	readyTimeout = 15 * time.Second
+	grace        = 4 * time.Second
+	adminPort    = "9464" // of the deploy file
+)
+
+// system is a small deployment: the platform's store and entry hosts as processes.
+type system struct {
+	store   *stand.Store
+	nodes   []stand.Node
+	record  *record
+	network [2]byte // of the hosts' loopback addresses
+}
+
+// zoneOf is the availability zone of a host or server.
+func zoneOf(n int) string { return []string{"a", "b", "c"}[n%hostCount] }
+
+// newSystem starts the store and the hosts. The cleanup function must be called even if it fails.
+func newSystem(program string, r *record) (*system, func(), error) {
+	s := &system{record: r}
+	var cleanups []func()
+	cleanup := func() {
+		for i := len(cleanups) - 1; i >= 0; i-- {
+			cleanups[i]()
+		}
+	}
+	dir, err := os.MkdirTemp("", "review3")
+	if err != nil {
+		return s, cleanup, err
+	}
+	cleanups = append(cleanups, func() { os.RemoveAll(dir) })
+	store, stop, err := stand.NewStore(netip.MustParseAddr("127.0.0.1"))
+	if err != nil {
+		return s, cleanup, err
+	}
+	cleanups = append(cleanups, stop)
+	s.store = store
+	pid := os.Getpid()
+	s.network = [2]byte{byte(128 + pid>>8%64), byte(pid)}
+	for n := range hostCount {
+		node, err := s.node(n)
+		if err != nil {
+			return s, cleanup, err
+		}
+		s.nodes = append(s.nodes, node)
+	}
+	for n := range s.nodes {
+		for _, seed := range s.nodes {
+			s.nodes[n].Seeds = append(s.nodes[n].Seeds, seed.Control)
+		}
+		stop, err := startHost(program, dir, &s.nodes[n])
+		if err != nil {
+			return s, cleanup, err
+		}
+		cleanups = append(cleanups, stop)
+	}
+	return s, cleanup, nil
+}
+
+// node returns the settings of a host, on free ports of a loopback address of its own.
+func (s *system) node(n int) (stand.Node, error) {
+	at := netip.AddrFrom4([4]byte{127, s.network[0], s.network[1], byte(n + 1)})
+	ports, err := freePorts(at, 3)
+	if err != nil {
+		return stand.Node{}, err
+	}
+	return stand.Node{
+		Name: fmt.Sprintf("edge-%s-1", zoneOf(n)), Zone: zoneOf(n), Front: ports[0], Ready: ports[1], Control: ports[2],
+		Store: s.store.Address, Grace: grace,
+	}, nil
+}
+
+// freePorts returns free ports of an address.
+func freePorts(at netip.Addr, count int) ([]netip.AddrPort, error) {
+	var ports []netip.AddrPort
+	for range count {
+		l, err := net.Listen("tcp", netip.AddrPortFrom(at, 0).String())
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return ports, nil
+}
+
+// startHost starts a host with the command of the deploy file and returns the function that ends
+// it.
+func startHost(program, dir string, node *stand.Node) (func(), error) {
+	settings, logPath := filepath.Join(dir, node.Name+".toml"), filepath.Join(dir, node.Name+".log")
+	if err := os.WriteFile(settings, []byte(node.SettingsFile()), 0o600); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(logPath)
+	if err != nil {
+		return nil, err
+	}
+	command := exec.Command(program, "edge", "--admin-port", adminPort)
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + dir, "YUCCADOOR_NODE_FILE=" + settings}
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		log.Close()
+		return nil, err
+	}
+	return func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+		log.Close()
+	}, nil
+}
+
+// publish publishes the configuration and waits until all hosts are ready.
+func (s *system) publish(ctx context.Context, d *stand.Deployment) error {
+	d.Publish(s.store)
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for i := range s.nodes {
+		for !stand.IsReady(ctx, s.nodes[i].Ready) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("host %s is not ready", s.nodes[i].Name)
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	// The hosts have heard of each other, and of all servers, by then.
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(2 * time.Second):
+	}
+	return nil
+}
