review: case 13 with one long line, which also takes a host over its memory

The additional bytes are one long line now: each attempt to read an answer in it reads all of the line.

--- a/review/stand3/status.go
+++ b/review/stand3/status.go
@@ -17,17 +17,17 @@
 	statusTimeout = time.Second            // timeout_ms of the routes
 	statusLate    = 500 * time.Millisecond // within which a final answer must follow it
 	statusEvery   = 20                     // one in so many answers of the servers in trouble is spoilt
-	statusLines   = 120_000                // additional lines of a spoilt answer, some 2 MB
+	statusRepeats = 1_200_000              // of the beginning of a status line after a spoilt answer, 15.6 MB
 	statusLoad    = 160                    // requests a second
 	statusLength  = 5 * time.Second
 )
 
-// playStatusLines has two of four servers go on writing status lines after one in twenty of their
-// answers, which have no length, and then end the connection in order.
+// playStatusLines has two of four servers go on writing the beginning of a status line after one in
+// twenty of their answers, which have no length, and then end the connection in order.
 func playStatusLines(ctx context.Context, s *system, trouble bool) (verdict, error) {
 	var spoiling atomic.Bool
 	var count atomic.Int64
-	rest := strings.Repeat("HTTP/1.1 200 OK\r\n", statusLines) + "\r\n"
+	rest := strings.Repeat("HTTP/1.1 200 ", statusRepeats) + "\r\n\r\n"
 	sound := func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(15 * time.Millisecond)
 		writeFramed(w, "stock of "+r.Header.Get(headerRequest)+"\n")
@@ -77,5 +77,6 @@
 	if !trouble && answered == 0 {
 		return verdict{}, fmt.Errorf("no request was served")
 	}
+	s.recordMemory()
 	return verdict{2*unanswered > lasting, fmt.Sprintf("%d of %d requests that last longer than timeout_ms had no final answer 0.5 s after it", unanswered, lasting)}, nil
 }
--- a/review/stand3/system.go
+++ b/review/stand3/system.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"yuccadoor/platform/stand"
@@ -27,6 +28,7 @@
 	nodes   []stand.Node
 	record  *record
 	network [2]byte // of the hosts' loopback addresses
+	pids    []int   // of the hosts
 }
 
 // zoneOf is the availability zone of a host or server.
@@ -65,10 +67,11 @@
 		for _, seed := range s.nodes {
 			s.nodes[n].Seeds = append(s.nodes[n].Seeds, seed.Control)
 		}
-		stop, err := startHost(program, dir, &s.nodes[n])
+		pid, stop, err := startHost(program, dir, &s.nodes[n])
 		if err != nil {
 			return s, cleanup, err
 		}
+		s.pids = append(s.pids, pid)
 		cleanups = append(cleanups, stop)
 	}
 	return s, cleanup, nil
@@ -101,25 +104,25 @@
 	return ports, nil
 }
 
-// startHost starts a host with the command of the deploy file and returns the function that ends
-// it.
-func startHost(program, dir string, node *stand.Node) (func(), error) {
+// startHost starts a host with the command of the deploy file and returns its process id and the
+// function that ends it.
+func startHost(program, dir string, node *stand.Node) (int, func(), error) {
 	settings, logPath := filepath.Join(dir, node.Name+".toml"), filepath.Join(dir, node.Name+".log")
 	if err := os.WriteFile(settings, []byte(node.SettingsFile()), 0o600); err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	log, err := os.Create(logPath)
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	command := exec.Command(program, "edge", "--admin-port", adminPort)
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + dir, "YUCCADOOR_NODE_FILE=" + settings}
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		log.Close()
-		return nil, err
+		return 0, nil, err
 	}
-	return func() {
+	return command.Process.Pid, func() {
 		_ = command.Process.Kill()
 		_ = command.Wait()
 		log.Close()
@@ -148,3 +151,16 @@
 	}
 	return nil
 }
+
+// recordMemory notes the most memory that each host took. The platform ends a host that takes more
+// than its settings state; this one does not, so that the case shows how far it goes.
+func (s *system) recordMemory() {
+	for n, pid := range s.pids {
+		status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+		for line := range strings.SplitSeq(string(status), "\n") {
+			if most, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+				s.record.line("host %s took at most %s; memory_mb is 284", s.nodes[n].Name, strings.TrimSpace(most))
+			}
+		}
+	}
+}
