--- a/review/stand3/system.go
+++ b/review/stand3/system.go
@@ -29,6 +29,7 @@
 	record  *record
 	network [2]byte // of the hosts' loopback addresses
 	pids    []int   // of the hosts
+	carry   uint16  // port for the hosts' own use
 }
 
 // zoneOf is the availability zone of a host or server.
@@ -56,18 +57,19 @@
 	s.store = store
 	pid := os.Getpid()
 	s.network = [2]byte{byte(128 + pid>>8%64), byte(pid)}
+	ports, err := freePorts(s.address(0), 4)
+	if err != nil {
+		return s, cleanup, err
+	}
 	for n := range hostCount {
-		node, err := s.node(n)
-		if err != nil {
-			return s, cleanup, err
-		}
-		s.nodes = append(s.nodes, node)
+		s.nodes = append(s.nodes, s.node(n, ports))
 	}
+	s.carry = ports[3]
 	for n := range s.nodes {
 		for _, seed := range s.nodes {
 			s.nodes[n].Seeds = append(s.nodes[n].Seeds, seed.Control)
 		}
-		pid, stop, err := startHost(program, dir, &s.nodes[n])
+		pid, stop, err := startHost(program, dir, s.nodes[n].Name, s.settings(n))
 		if err != nil {
 			return s, cleanup, err
 		}
@@ -77,38 +79,45 @@
 	return s, cleanup, nil
 }
 
-// node returns the settings of a host, on free ports of a loopback address of its own.
-func (s *system) node(n int) (stand.Node, error) {
-	at := netip.AddrFrom4([4]byte{127, s.network[0], s.network[1], byte(n + 1)})
-	ports, err := freePorts(at, 3)
-	if err != nil {
-		return stand.Node{}, err
-	}
+// address is the loopback address of a host.
+func (s *system) address(n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, s.network[0], s.network[1], byte(n + 1)})
+}
+
+// node returns the settings of a host, whose ports are the same on all hosts.
+func (s *system) node(n int, ports []uint16) stand.Node {
+	at := s.address(n)
 	return stand.Node{
-		Name: fmt.Sprintf("edge-%s-1", zoneOf(n)), Zone: zoneOf(n), Front: ports[0], Ready: ports[1], Control: ports[2],
-		Store: s.store.Address, Grace: grace,
-	}, nil
+		Name: fmt.Sprintf("edge-%s-1", zoneOf(n)), Zone: zoneOf(n), Front: netip.AddrPortFrom(at, ports[0]),
+		Ready: netip.AddrPortFrom(at, ports[1]), Control: netip.AddrPortFrom(at, ports[2]), Store: s.store.Address, Grace: grace,
+	}
 }
 
 // freePorts returns free ports of an address.
-func freePorts(at netip.Addr, count int) ([]netip.AddrPort, error) {
-	var ports []netip.AddrPort
+func freePorts(at netip.Addr, count int) ([]uint16, error) {
+	var ports []uint16
 	for range count {
 		l, err := net.Listen("tcp", netip.AddrPortFrom(at, 0).String())
 		if err != nil {
 			return nil, err
 		}
 		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort())
+		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort().Port())
 	}
 	return ports, nil
 }
 
+// settings is the text of a host's settings file: that of the stand-in, with the ports for the
+// hosts' own use.
+func (s *system) settings(n int) string {
+	return fmt.Sprintf("internal_ports = [%d,%d]\n%s", s.carry, s.carry, s.nodes[n].SettingsFile())
+}
+
 // startHost starts a host with the command of the deploy file and returns its process id and the
 // function that ends it.
-func startHost(program, dir string, node *stand.Node) (int, func(), error) {
-	settings, logPath := filepath.Join(dir, node.Name+".toml"), filepath.Join(dir, node.Name+".log")
-	if err := os.WriteFile(settings, []byte(node.SettingsFile()), 0o600); err != nil {
+func startHost(program, dir, name, settings string) (int, func(), error) {
+	path, logPath := filepath.Join(dir, name+".toml"), filepath.Join(dir, name+".log")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return 0, nil, err
 	}
 	log, err := os.Create(logPath)
@@ -116,7 +125,7 @@
 		return 0, nil, err
 	}
 	command := exec.Command(program, "edge", "--admin-port", adminPort)
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + dir, "YUCCADOOR_NODE_FILE=" + settings}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + dir, "YUCCADOOR_NODE_FILE=" + path}
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		log.Close()
