--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -37,6 +37,7 @@
 	"quoted": playQuoted,
 	"status": playStatusLines,
 	"cold":   playCold,
+	"parts":  playParts,
 }
 
 func main() { os.Exit(run()) }
