--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -38,6 +38,7 @@
 	"status": playStatusLines,
 	"cold":   playCold,
 	"parts":  playParts,
+	"lines":  playLines,
 }
 
 func main() { os.Exit(run()) }
