relay: pass on bodies that quote a response, whole or not at all

Callers got 200 with a part of a sound answer: in a body without a length, a status line with a request id behind it was taken for a second response of a faulty server, and what came before was passed on as the whole. A status line with no end of a head behind it ended the answer as 502, also in a sentence.

By HTTP such a body ends with its connection only, so that a second response can be guessed from its form alone. A scanner now reads the body as it arrives. What cannot be the head of a target's response, by its grammar, its line ends, its id or its stamp, is text and passed on whole. Anything else is ambiguous: the caller gets 502 with the cause AmbiguousAnswer, the attempt counts as an answer of its target, and it is not repeated, since another target may answer the same.

Three rows of the test of second responses and two of the platform's test of unframed answers expected that the first response is passed on alone before a second one. A sound server that quotes sends the same bytes, so the rows were wrong; they now expect the error, or the 502, and one run.

--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -19,6 +19,7 @@
 type attemptResult struct {
 	outcome         broker.Outcome
 	unframed        bool // the response ended with its connection only
+	ambiguous       bool // see relay.ErrAmbiguous
 	inconclusive    bool // see broker.Completion
 	final           bool // the client has its final response, or has disconnected
 	mayHaveRun      bool
@@ -219,6 +220,10 @@
 	if response.NotRun {
 		return attemptResult{outcome: broker.Rejected, status: response.Status, err: err}
 	}
+	ambiguity := error(nil)
+	if errors.Is(err, relay.ErrAmbiguous) {
+		ambiguity, err = err, nil
+	}
 	if err == nil && response.Status < http.StatusInternalServerError {
 		err = response.ConfirmEnd(ctx)
 	}
@@ -235,12 +240,18 @@
 	case c.stream.started:
 		// This cannot continue a stream that the client has a part of.
 		r.outcome = broker.Failed
+	case ambiguity != nil:
+		// The target has answered, and another one may answer the same.
+		r.outcome, r.ambiguous = broker.Good, true
 	default:
 		r.outcome = broker.Good
 		r.final = true
 		c.timeToFirstPart = c.handler.Now().Sub(c.arrived)
 		c.writeResponse(response.Status, response.Header, body)
 	}
+	if ambiguity != nil && err == nil {
+		r.status, r.err = 0, ambiguity
+	}
 	return r
 }
 
--- a/io/gate/call.go
+++ b/io/gate/call.go
@@ -267,7 +267,7 @@
 
 // mayRetry reports whether the request may be sent to another target.
 func (c *call) mayRetry(ctx context.Context, r attemptResult) bool {
-	if ctx.Err() != nil || c.sends >= maxSends {
+	if ctx.Err() != nil || c.sends >= maxSends || r.ambiguous {
 		return false
 	}
 	if r.outcome == broker.NoConnect || r.outcome == broker.Unused || r.connectCut {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -116,6 +116,10 @@
 // CauseClientDisconnected is the cause of requests whose client disconnected.
 const CauseClientDisconnected = "CallerLeft"
 
+// CauseAmbiguous is the cause of requests whose response may be followed by another one; see
+// relay.ErrAmbiguous.
+const CauseAmbiguous = "AmbiguousAnswer"
+
 // Recorder records metrics of requests.
 type Recorder interface {
 	RecordOutcome(o Outcome)
--- a/io/gate/refuse.go
+++ b/io/gate/refuse.go
@@ -104,6 +104,8 @@
 		c.cause = "TargetFailed"
 		c.timeToFirstPart = c.handler.Now().Sub(c.arrived)
 		c.writeResponse(r.status, r.header, r.body)
+	case r.ambiguous:
+		c.refuse(http.StatusBadGateway, CauseAmbiguous, 0)
 	case c.runs > 0:
 		c.refuse(http.StatusBadGateway, string(r.outcome), 0)
 	default:
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -289,6 +290,9 @@
 	return errors.Errorf("%d responses in a row are informational or for other requests", maxForeignResponses)
 }
 
+// statusLine matches the beginning of a response.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
 // isSpliced reports whether a response's first line stands within its header, after a
 // piece of another response that may end anywhere in a line.
 func isSpliced(resp *http.Response) bool {
@@ -311,20 +315,69 @@
 	return r.Header.Get(r.sender.names.Stamp) != "" && r.Header.Get("Content-Encoding") == ""
 }
 
-// ReadBody reads the body to its announced end.
+// ReadBody reads the body to its announced end. The error of one that may not be the target's
+// whole body, although it ended in order, is ErrAmbiguous.
 func (r *Response) ReadBody() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(bufferedBody{r}, maxBodyBytes+1))
-	if err != nil {
-		return nil, errors.Wrapf(err, "read response from target %s", r.call.Target)
+	body, err := r.readBody()
+	return body, errors.Wrapf(err, "read response from target %s", r.call.Target)
+}
+
+func (r *Response) readBody() ([]byte, error) {
+	source := io.Reader(bufferedBody{r})
+	var scan *scanner
+	if r.Unframed {
+		scan = newScanner(r.sender.names, r.Status, r.resp.Status)
+		source = &scannedBody{source, scan}
 	}
-	if len(body) > maxBodyBytes {
-		return nil, errors.Errorf("read response from target %s: over %d bytes", r.call.Target, maxBodyBytes)
+	body, err := io.ReadAll(io.LimitReader(source, maxBodyBytes+1))
+	switch {
+	case err == errFound:
+		return nil, r.skipRest(int64(len(body)))
+	case err != nil:
+		return nil, err
+	case len(body) > maxBodyBytes:
+		return nil, errors.Errorf("over %d bytes", maxBodyBytes)
 	}
 	r.complete = true
-	if r.Unframed {
-		body, err = r.cutSecondResponse(body)
+	if scan != nil && scan.ambiguous() {
+		return nil, ErrAmbiguous
+	}
+	return body, nil
+}
+
+// errFound ends the reading of a body in which its scanner has found another response.
+var errFound = errors.New("found another response")
+
+// scannedBody passes a body on to its scanner, up to the first response found there.
+type scannedBody struct {
+	body io.Reader
+	scan *scanner
+}
+
+// Read implements io.Reader.
+func (b *scannedBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	_, _ = b.scan.Write(p[:n])
+	if b.scan.found && (err == nil || err == io.EOF) {
+		return n, errFound
+	}
+	return n, err
+}
+
+// skipRest reads an ambiguous body, of which some bytes were read, to its end, which tells whether
+// the connection broke.
+func (r *Response) skipRest(read int64) error {
+	r.sender.buffered.Add(-r.buffered)
+	r.buffered = 0
+	switch _, err := io.CopyN(io.Discard, r.body, maxBodyBytes+1-read); err {
+	case io.EOF:
+		r.complete = true
+		return ErrAmbiguous
+	case nil:
+		return errors.Errorf("over %d bytes", maxBodyBytes)
+	default:
+		return err
 	}
-	return body, errors.Wrapf(err, "read response from target %s", r.call.Target)
 }
 
 // bufferedBody reads a body that is buffered whole, and counts its bytes towards
