core: count a crash once by the process that crashed

Sound requests were refused with PartCrashesTargets after one or two crashes: records of one crash were joined by time alone, and the time that a record states shifts by the lag of its message, so that three hosts' reports of one crash with lags of 0, 0.7 and 1.4 s counted as three crashes in succession.

Records now name the target's published lifetime besides its address. Earlier builds skip the new field. The same goes for crashes of whole requests (core/crash).

--- a/core/broker/crash.go
+++ b/core/broker/crash.go
@@ -43,6 +43,9 @@
 	ConnectRefused bool          // the target accepted no connection just after
 }
 
+// process returns the process that ran the request.
+func (r *BrokenRun) process() member.Process { return member.Process{Address: r.Address, Born: r.Born} }
+
 // CrashStep is a step in the investigation of a suspected crash.
 type CrashStep string
 
@@ -171,8 +174,8 @@
 }
 
 func (b *Broker) recordCrash(now time.Time, r BrokenRun) {
-	b.crashes.RecordCrash(r.EndedAt, r.Took, r.Content, r.Address)
-	b.parts.RecordCrash(r.EndedAt, r.Took, r.Address, r.SharedParts)
+	b.crashes.RecordCrash(r.EndedAt, r.Took, r.Content, r.process())
+	b.parts.RecordCrash(r.EndedAt, r.Took, r.process(), r.SharedParts)
 	b.addCrashEvent(now, CrashRecorded, r)
 	b.resolvePendingCheck(r.Content)
 	b.crashesChanged(now)
@@ -182,8 +185,8 @@
 // refused part explains are not the fault of the requests that ran beside it.
 func (b *Broker) crashesChanged(now time.Time) {
 	if b.parts.Refuses(now) {
-		b.crashes.Forgive(func(target netip.AddrPort, sentAt, at time.Time) bool {
-			return b.parts.Explains(now, target, sentAt, at)
+		b.crashes.Forgive(func(process member.Process, sentAt, at time.Time) bool {
+			return b.parts.Explains(now, process, sentAt, at)
 		})
 	}
 	b.reportPartChanges(now)
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -23,31 +22,25 @@
 	// maxHandover is the number of records that a host hands over to another that
 	// may have missed some, about 10 KB.
 	maxHandover = 256
-	// transitSlack is how much later a record from another host may appear: its
-	// age is given as of sending, and messages take some time.
-	transitSlack = 300 * time.Millisecond
 )
 
 // record is one crash of a target that was running a content.
 type record struct {
-	id     member.CrashID
-	target netip.AddrPort
-	sentAt time.Time // when the broken request was sent
-	at     time.Time
+	id      member.CrashID
+	process member.Process
+	sentAt  time.Time // when the broken request was sent
+	at      time.Time
 }
 
-// sameCrash reports whether two requests broke in one crash: their running times
-// overlap, within the timing error between hosts. A request sent after a crash
-// reached the restarted target.
+// sameCrash reports whether two requests broke in one crash: in the same process, their
+// running times overlap, within the timing error between hosts. A request that the same host
+// sent after a crash reached the restarted target.
 func (c record) sameCrash(d record) bool {
 	if c.id == d.id {
 		return true
 	}
-	slack := time.Duration(0)
-	if c.id.Seer != d.id.Seer {
-		slack = transitSlack
-	}
-	return c.target == d.target && c.sentAt.Sub(d.at) <= slack && d.sentAt.Sub(c.at) <= slack
+	slack, ok := c.process.Slack(d.process, c.id.Seer == d.id.Seer)
+	return ok && c.sentAt.Sub(d.at) <= slack && d.sentAt.Sub(c.at) <= slack
 }
 
 // Records holds the crashes that one host knows of. One goroutine owns it.
@@ -73,9 +66,9 @@
 
 // RecordCrash records that a target crashed at a time while running a content
 // that it was sent took earlier. Several reports of one crash count once.
-func (r *Records) RecordCrash(at time.Time, took time.Duration, f model.Fingerprint, target netip.AddrPort) {
+func (r *Records) RecordCrash(at time.Time, took time.Duration, f model.Fingerprint, process member.Process) {
 	r.serial++
-	r.add(f, record{id: member.CrashID{Seer: r.process, Serial: r.serial}, target: target, sentAt: at.Add(-took), at: at})
+	r.add(f, record{id: member.CrashID{Seer: r.process, Serial: r.serial}, process: process, sentAt: at.Add(-took), at: at})
 }
 
 // LastSerial returns the number of crashes reported here, with repeated reports
@@ -134,10 +127,10 @@
 }
 
 // Forgive drops the crashes that have another cause than the content, as reported by
-// explained for the target, the sending of the request and the crash.
-func (r *Records) Forgive(explained func(target netip.AddrPort, sentAt, at time.Time) bool) {
+// explained for the process, the sending of the request and the crash.
+func (r *Records) Forgive(explained func(process member.Process, sentAt, at time.Time) bool) {
 	for f := range r.crashes {
-		r.retain(f, func(c record) bool { return !explained(c.target, c.sentAt, c.at) })
+		r.retain(f, func(c record) bool { return !explained(c.process, c.sentAt, c.at) })
 	}
 }
 
@@ -235,7 +228,7 @@
 	for f, crashes := range r.crashes {
 		for _, c := range crashes {
 			if wanted(c) {
-				all = append(all, member.Crash{ID: c.id, Fingerprint: f, Target: c.target, Age: now.Sub(c.at), Took: c.at.Sub(c.sentAt)})
+				all = append(all, member.Crash{ID: c.id, Fingerprint: f, Target: c.process.Address, Born: c.process.Born, Age: now.Sub(c.at), Took: c.at.Sub(c.sentAt)})
 			}
 		}
 	}
@@ -248,7 +241,7 @@
 	for _, c := range shared {
 		if c.Age >= 0 && c.Age < Expiry {
 			at := now.Add(-c.Age)
-			r.add(c.Fingerprint, record{id: c.ID, target: c.Target, sentAt: at.Add(-c.Took), at: at})
+			r.add(c.Fingerprint, record{id: c.ID, process: c.Process(), sentAt: at.Add(-c.Took), at: at})
 		}
 	}
 }
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -7,21 +7,22 @@
 
 	"gotest.tools/v3/assert"
 
+	"yuccadoor/core/member"
 	"yuccadoor/core/model"
 )
 
 const content model.Fingerprint = 7
 
 var (
-	targetA = netip.MustParseAddrPort("127.0.0.1:1")
-	targetB = netip.MustParseAddrPort("127.0.0.1:2")
+	targetA = member.Process{Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	targetB = member.Process{Address: netip.MustParseAddrPort("127.0.0.1:2")}
 	start   = time.Unix(1_000_000, 0)
 )
 
 // report is a broken request that one host saw. sent is when it was sent and at
 // when it broke, in milliseconds from the start.
 type report struct {
-	target   netip.AddrPort
+	target   member.Process
 	sent, at int
 }
 
@@ -163,3 +164,20 @@
 		r.Refused(start, f)
 	}
 }
+
+// Regression guard: reports of one crash that messages brought late counted as several crashes.
+func TestLateReportsOfOneCrashCountOnce(t *testing.T) {
+	process := member.Process{Address: targetA.Address, Born: 5}
+	leader := NewRecords(9, 2)
+	for n := range 3 {
+		observer, lag := NewRecords(uint64(n+1), 2), time.Duration(n)*700*time.Millisecond
+		observer.RecordCrash(start, 200*time.Millisecond, content, process)
+		leader.Merge(start.Add(lag), observer.OwnSince(start, 0))
+	}
+	_, refused := leader.Refused(start.Add(2*time.Second), content)
+	assert.Assert(t, !refused)
+	process.Born++
+	leader.RecordCrash(start.Add(2*time.Second), 100*time.Millisecond, content, process)
+	_, refused = leader.Refused(start.Add(2*time.Second), content)
+	assert.Assert(t, refused)
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -42,6 +42,39 @@
 	Serial uint64 `cbor:"2,keyasint,omitempty"`
 }
 
+// Process identifies one run of a target's process. Two crashes of a target are crashes of
+// different processes.
+type Process struct {
+	Address netip.AddrPort
+	Born    uint64 // published lifetime; 0 if not known
+}
+
+// Timing errors of crash records of different hosts. The age of a record is that at its sending,
+// so that messages make it appear later.
+const (
+	transitSlack = 300 * time.Millisecond
+	// processSlack is for records that name the same process, of which messages may be late
+	// as well. It is limited, since a restarted target is known by its former lifetime until it
+	// has published the new one.
+	processSlack = 2 * time.Second
+)
+
+// Slack returns by how much the times of two reports of one crash may differ, of which q is the
+// process in the other. It returns false if the processes differ, so that they are no reports of
+// one crash. sameHost is set if one host made both.
+func (p Process) Slack(q Process, sameHost bool) (time.Duration, bool) {
+	known := p.Born != 0 && q.Born != 0
+	switch {
+	case p.Address != q.Address || known && p.Born != q.Born:
+		return 0, false
+	case sameHost:
+		return 0, true
+	case known:
+		return processSlack, true
+	}
+	return transitSlack, true
+}
+
 // Answer records that a target completed a request whose content has crash
 // records.
 type Answer struct {
@@ -56,8 +89,13 @@
 	Target      netip.AddrPort    `cbor:"3,keyasint,omitempty"`
 	Age         time.Duration     `cbor:"4,keyasint,omitempty"` // time since the crash
 	Took        time.Duration     `cbor:"5,keyasint,omitempty"` // time from sending the request to the crash
+	// Born is the published lifetime of the target; 0 if not known, as from an earlier build.
+	Born uint64 `cbor:"6,keyasint,omitempty"`
 }
 
+// Process returns the process that crashed.
+func (c *Crash) Process() Process { return Process{Address: c.Target, Born: c.Born} }
+
 // Exchange is the state that a host sends in one gossip message.
 type Exchange struct {
 	From           netip.AddrPort
--- a/core/parts/parts.go
+++ b/core/parts/parts.go
@@ -8,7 +8,6 @@
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -34,9 +33,6 @@
 	// reportTime is how long the reports of one crash from several hosts may take: the
 	// attempt to connect to the target, and the message.
 	reportTime = 300 * time.Millisecond
-	// transitSlack is how much later a record from another host may appear: its age
-	// is given as of sending, and messages take some time.
-	transitSlack = 300 * time.Millisecond
 	// probeBackoff is the factor between the lengths of successive refusals of a part,
 	// since each ends with a request that may crash one more target.
 	probeBackoff = 16
@@ -68,7 +64,7 @@
 
 // crashEvent is one crash of a target.
 type crashEvent struct {
-	target  netip.AddrPort
+	process member.Process
 	endedAt time.Time // when the first of its runs broke off
 	runs    []run     // at least one
 	// lastSentAt is when the last of the broken requests with a part was sent, for each
@@ -76,16 +72,13 @@
 	lastSentAt map[model.PromptPart]time.Time
 }
 
-// includes reports whether a run broke off in this crash: the runs overlap, within
-// the timing error between hosts. A request sent after a crash reached the restarted
-// target.
-func (e *crashEvent) includes(target netip.AddrPort, r run) bool {
-	return e.target == target && slices.ContainsFunc(e.runs, func(x run) bool {
-		slack := time.Duration(0)
-		if x.id.Seer != r.id.Seer {
-			slack = transitSlack
-		}
-		return x.sentAt.Sub(r.at) <= slack && r.sentAt.Sub(x.at) <= slack
+// includes reports whether a run broke off in this crash: in the same process, at the same
+// time within the timing error between hosts. A request that the same host sent after a crash
+// reached the restarted target.
+func (e *crashEvent) includes(process member.Process, r run) bool {
+	return slices.ContainsFunc(e.runs, func(x run) bool {
+		slack, ok := e.process.Slack(process, x.id.Seer == r.id.Seer)
+		return ok && x.sentAt.Sub(r.at) <= slack && r.sentAt.Sub(x.at) <= slack
 	})
 }
 
@@ -135,7 +128,7 @@
 
 // targetRun is a run with its target.
 type targetRun struct {
-	target netip.AddrPort
+	process member.Process
 	run
 }
 
@@ -144,29 +137,29 @@
 	return &Records{process: processID, byPart: map[model.PromptPart][]*crashEvent{}, answered: map[model.PromptPart]time.Time{}, refusals: map[model.PromptPart]refusal{}}
 }
 
-// RecordCrash records that a target crashed at a time while it ran a request with
+// RecordCrash records that a target's process crashed at a time while it ran a request with
 // shared parts that it was sent took earlier.
-func (r *Records) RecordCrash(at time.Time, took time.Duration, target netip.AddrPort, parts model.PromptParts) {
+func (r *Records) RecordCrash(at time.Time, took time.Duration, process member.Process, parts model.PromptParts) {
 	r.serial++
 	x := run{id: member.CrashID{Seer: r.process, Serial: r.serial}, sentAt: at.Add(-took), at: at, parts: parts}
-	if r.add(target, x) {
-		r.unsentRuns = append(r.unsentRuns, targetRun{target, x})
+	if r.add(process, x) {
+		r.unsentRuns = append(r.unsentRuns, targetRun{process, x})
 	}
 	r.conclude(at) // now, since a refusal has to outlive the crashes
 }
 
 // add adds a run unless it is known or nothing can be attributed to it.
-func (r *Records) add(target netip.AddrPort, x run) bool {
+func (r *Records) add(process member.Process, x run) bool {
 	x.parts = slices.DeleteFunc(slices.Clone(x.parts), func(p model.PromptPart) bool { return !x.at.After(r.answered[p]) })
 	if len(x.parts) == 0 {
 		return false
 	}
 	r.findings = nil
-	i := slices.IndexFunc(r.events, func(e *crashEvent) bool { return e.includes(target, x) })
+	i := slices.IndexFunc(r.events, func(e *crashEvent) bool { return e.includes(process, x) })
 	if i < 0 {
 		r.evict()
 		i = len(r.events)
-		r.events = append(r.events, &crashEvent{target: target, endedAt: x.at, lastSentAt: map[model.PromptPart]time.Time{}})
+		r.events = append(r.events, &crashEvent{process: process, endedAt: x.at, lastSentAt: map[model.PromptPart]time.Time{}})
 	}
 	e := r.events[i]
 	for _, p := range x.parts {
--- a/core/parts/parts_test.go
+++ b/core/parts/parts_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"yuccadoor/core/member"
 	"yuccadoor/core/model"
 	"yuccadoor/core/seeded"
 )
@@ -22,8 +23,8 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-func target(n int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+n))
+func target(n int) member.Process {
+	return member.Process{Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+n))}
 }
 
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
@@ -366,3 +367,34 @@
 		assert.Assert(t, r.Check(probe.Add(expiry-time.Minute), parts).Refused)
 	}
 }
+
+// Regression guard: reports of one crash that messages brought late counted as several crashes in
+// succession, so that all requests with the parts they had in common were refused.
+func TestLateReportsOfOneCrashCountOnce(t *testing.T) {
+	const common = 1
+	for _, c := range []struct {
+		name string
+		lags []time.Duration // of the reports of three hosts, and of the handover to the next leader
+	}{
+		{"in order", []time.Duration{0, 700 * ms, 1400 * ms, 0}},
+		{"in reverse", []time.Duration{1400 * ms, 700 * ms, 0, 100 * ms}},
+		{"late handover", []time.Duration{0, 600 * ms, 1200 * ms, 1900 * ms}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			process := target(1)
+			process.Born = 5
+			leader, next := NewRecords(9), NewRecords(10)
+			for n, lag := range c.lags[:3] {
+				observer := NewRecords(uint64(n + 1))
+				observer.RecordCrash(at(0), 200*ms, process, model.PromptParts{common, model.PromptPart(10 + n)})
+				leader.Merge(at(0).Add(lag), observer.TakeNew(at(0)))
+			}
+			next.Merge(at(3).Add(c.lags[3]), leader.Handover(at(3)))
+			for _, r := range []*Records{leader, next} {
+				got := r.Check(at(6), model.PromptParts{common})
+				assert.Assert(t, !got.Refused)
+				assert.Equal(t, len(r.events), 1)
+			}
+		})
+	}
+}
--- a/core/parts/share.go
+++ b/core/parts/share.go
@@ -21,6 +21,8 @@
 	Parts  model.PromptParts `cbor:"3,keyasint,omitempty"` // that no answer has cleared
 	Age    time.Duration     `cbor:"4,keyasint,omitempty"` // time since the crash
 	Took   time.Duration     `cbor:"5,keyasint,omitempty"` // time from sending the request to the crash
+	// Born is the published lifetime of the target; 0 if not known, as from an earlier build.
+	Born uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Answer records that a request with a part was answered completely.
@@ -50,7 +52,7 @@
 func (r *Records) TakeNew(now time.Time) Shared {
 	var s Shared
 	for _, x := range r.unsentRuns {
-		s.Crashes = append(s.Crashes, share(now, x.target, x.run))
+		s.Crashes = append(s.Crashes, share(now, x.process, x.run))
 	}
 	for _, p := range r.unsentAnswers {
 		s.Answers = append(s.Answers, Answer{Part: p, Age: now.Sub(r.answered[p])})
@@ -59,8 +61,8 @@
 	return s
 }
 
-func share(now time.Time, target netip.AddrPort, x run) Crash {
-	return Crash{ID: x.id, Target: target, Parts: x.parts, Age: now.Sub(x.at), Took: x.at.Sub(x.sentAt)}
+func share(now time.Time, process member.Process, x run) Crash {
+	return Crash{ID: x.id, Target: process.Address, Born: process.Born, Parts: x.parts, Age: now.Sub(x.at), Took: x.at.Sub(x.sentAt)}
 }
 
 // Handover returns the records for a host that may have missed some: all, or the
@@ -70,7 +72,7 @@
 	var s Shared
 	for _, e := range r.events {
 		for _, x := range e.runs {
-			s.Crashes = append(s.Crashes, share(now, e.target, x))
+			s.Crashes = append(s.Crashes, share(now, e.process, x))
 		}
 	}
 	for p, at := range r.answered {
@@ -100,7 +102,7 @@
 	for _, c := range s.Crashes {
 		if c.Age >= 0 && c.Age < expiry && c.Took >= 0 {
 			at := now.Add(-c.Age)
-			r.add(c.Target, run{id: c.ID, sentAt: at.Add(-c.Took), at: at, parts: c.Parts})
+			r.add(member.Process{Address: c.Target, Born: c.Born}, run{id: c.ID, sentAt: at.Add(-c.Took), at: at, parts: c.Parts})
 		}
 	}
 	r.conclude(now)
--- a/core/parts/verdict.go
+++ b/core/parts/verdict.go
@@ -3,10 +3,10 @@
 import (
 	"cmp"
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
+	"yuccadoor/core/member"
 	"yuccadoor/core/model"
 )
 
@@ -99,15 +99,15 @@
 	return len(r.refusals) > 0
 }
 
-// Explains reports whether a run at a target broke off in a crash that a refused part
+// Explains reports whether a run of a process broke off in a crash that a refused part
 // explains.
-func (r *Records) Explains(now time.Time, target netip.AddrPort, sentAt, at time.Time) bool {
+func (r *Records) Explains(now time.Time, process member.Process, sentAt, at time.Time) bool {
 	if r.conclude(now); len(r.refusals) == 0 {
 		return false
 	}
 	x := run{sentAt: sentAt, at: at}
 	return slices.ContainsFunc(r.events, func(e *crashEvent) bool {
-		return e.includes(target, x) && r.isExplained(now, e)
+		return e.includes(process, x) && r.isExplained(now, e)
 	})
 }
 
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -291,7 +291,7 @@
 // content. ago is the time since the crash, took the time from sending the request to
 // the crash.
 func (l *Loop) RecordCrash(f model.Fingerprint, target netip.AddrPort, ago, took time.Duration) {
-	_ = l.post(context.Background(), func(now time.Time) { l.crashes.RecordCrash(now.Add(-ago), took, f, target) })
+	_ = l.post(context.Background(), func(now time.Time) { l.crashes.RecordCrash(now.Add(-ago), took, f, member.Process{Address: target}) })
 }
 
 // RecordAnswer records that a target completed a request with the given content.
