relay: tests and postmortem of status lines after an answer

Callers got no answer for minutes, and hosts went over their memory, when a server sent megabytes of status lines after an answer without a length: each of them was followed by a search through the rest of the body, after it had been read, where neither the time limit nor the caller's leaving ended it.

--- a/io/relay/endless_test.go
+++ b/io/relay/endless_test.go
@@ -131,3 +131,29 @@
 	}
 	assert.Equal(t, s.buffered.Load(), int64(0))
 }
+
+// Regression guard: a body of status lines kept its thread for minutes, whatever the time limit of
+// its request, since the time to look through it grew with the square of its bytes.
+func TestBodyOfStatusLinesIsReadInTime(t *testing.T) {
+	const bytes, patience = 4 << 20, 10 * time.Second
+	for _, c := range []struct{ name, words string }{
+		{"in one line", "HTTP/1.1 200 "},
+		{"in lines", "HTTP/1.1 200 OK\r\n"},
+		{"heads", "HTTP/1.1 200 OK\r\n\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			response := sendFirst(t, "HTTP/1.1 200 OK\r\nX-Id: first\r\nX-Stamp: s\r\n\r\n"+strings.Repeat(c.words, bytes/len(c.words))+"\r\n\r\n")
+			defer response.Close()
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_, _ = response.ReadBody()
+			}()
+			select {
+			case <-ended:
+			case <-time.After(patience):
+				t.Fatalf("%d bytes are not read within %s", bytes, patience)
+			}
+		})
+	}
+}
--- a/io/relay/scan_test.go
+++ b/io/relay/scan_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"net/http"
 	"os"
 	"regexp"
@@ -131,3 +132,29 @@
 		assert.Equal(t, got, isAmbiguous(body), "%q", body)
 	})
 }
+
+// Regression guard: the time to look for another response grew with the square of the body, which
+// kept a thread for minutes.
+func TestScannerLooksAtEachByteOnce(t *testing.T) {
+	const piece = 32 << 10
+	for _, c := range []struct{ name, words string }{
+		{"plain text", "All is well. "},
+		{"no status lines", "HHTTP/1.H "},
+		{"status lines in one line", "HTTP/1.1 200 "},
+		{"status lines", "HTTP/1.1 200 OK\r\n"},
+		{"heads of one line", "HTTP/1.1 200 OK\r\n\r\n"},
+		{"heads that are cut", "HTTP/1.1 200 OK\r\nX-Odd: x\r\nX-Other: "},
+		{"fields that name status lines", "X-Odd: HTTP/1.1 200 OK\r\n"},
+		{"heads without an id", "HTTP/1.1 200 OK\r\nX-Stamp: s\r\n\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, megabytes := range []int{1, 2, 4, 8} {
+				body := bytes.Repeat([]byte(c.words), megabytes<<20/len(c.words))
+				assert.Equal(t, scan(body, piece).steps, len(body))
+			}
+		})
+	}
+	body := bytes.Repeat([]byte("HTTP/1.1 200 "), 100)
+	s := scan(body, 1)
+	assert.Assert(t, testing.AllocsPerRun(10, func() { _, _ = s.Write(body) }) == 0)
+}
