relay: tell heads that quote a status line from spliced ones

A sound response with a field such as "X-Supplier-Answer: HTTP/1.1 200 OK" ended as 502 although its order had run and its length was stated: any status line in a value counted as the seam between a piece of one response and another.

The head is now scanned as it came, by the scanner of bodies without a length. Where no id follows the status line, nothing is spliced. Where one does, the response is passed on only if its status, id, stamp and length are single and nothing follows the body: the response that such a length would belong to ends with its connection. Anything else counts as spliced, as before.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -141,6 +141,19 @@
 // ClearReadLimit removes the limit.
 func (c *PooledConn) ClearReadLimit() { c.limited.remaining = math.MaxInt64 }
 
+// StartRecording keeps the bytes that are taken from Reader from now on.
+func (c *PooledConn) StartRecording() {
+	buffered, _ := c.Reader.Peek(c.Reader.Buffered())
+	c.limited.recording, c.limited.recorded = true, append(c.limited.recorded[:0], buffered...)
+}
+
+// StopRecording returns the bytes that were taken from Reader since StartRecording. They are
+// valid until the next call of that.
+func (c *PooledConn) StopRecording() []byte {
+	c.limited.recording = false
+	return c.limited.recorded[:len(c.limited.recorded)-c.Reader.Buffered()]
+}
+
 // ErrReadLimit is returned by reads beyond the limit of a connection.
 var ErrReadLimit = errors.New("the target sent more bytes than the read limit")
 
@@ -148,6 +161,8 @@
 type limitedReader struct {
 	conn      net.Conn
 	remaining int64
+	recording bool
+	recorded  []byte
 }
 
 // Read implements io.Reader.
@@ -157,6 +172,9 @@
 	}
 	n, err := r.conn.Read(p[:min(int64(len(p)), r.remaining)])
 	r.remaining -= int64(n)
+	if r.recording {
+		r.recorded = append(r.recorded, p[:n]...)
+	}
 	return n, err
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -167,6 +166,7 @@
 	events     *bufio.Reader
 	buffered   int64 // bytes of the body in memory
 	complete   bool  // the body has been read to its end
+	quotes     bool  // see isTold
 }
 
 // Send sends a call and reads the header of the response.
@@ -253,13 +253,18 @@
 	defer r.conn.ClearReadLimit()
 	for range maxForeignResponses {
 		r.conn.SetReadLimit(conns.MaxHeaderBytes)
+		r.conn.StartRecording()
 		resp, err := reply.Read(r.conn.Reader, &http.Request{Method: r.call.Method})
+		head := r.conn.StopRecording()
 		if err != nil {
 			return err
 		}
 		r.conn.ClearReadLimit()
-		if isSpliced(resp) {
-			return errors.New("the response begins with a piece of another one")
+		if isSpliced(head, r.sender.names) {
+			if !r.isTold(head, resp) {
+				return errors.New("the response begins with a piece of another one")
+			}
+			r.quotes = true
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -283,30 +288,15 @@
 		if r.Unframed && r.upload != nil {
 			r.body = &uploadChecker{body: resp.Body, upload: r.upload}
 		}
-		r.Stream = strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
+		r.Stream = isStream(resp)
 		r.NotRun = resp.Header.Get(r.sender.names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 		return nil
 	}
 	return errors.Errorf("%d responses in a row are informational or for other requests", maxForeignResponses)
 }
 
-// statusLine matches the beginning of a response.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
-
-// isSpliced reports whether a response's first line stands within its header, after a
-// piece of another response that may end anywhere in a line.
-func isSpliced(resp *http.Response) bool {
-	if strings.Contains(resp.Status, protocolPrefix) {
-		return true
-	}
-	for name, values := range resp.Header {
-		for _, v := range values {
-			if statusLine.MatchString(v) || strings.HasPrefix(v, protocolPrefix) && name != "Via" { // in which it names a protocol
-				return true
-			}
-		}
-	}
-	return false
+func isStream(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
 }
 
 // Verified reports whether the response has the target's stamp and no content encoding.
@@ -339,7 +329,7 @@
 		return nil, errors.Errorf("over %d bytes", maxBodyBytes)
 	}
 	r.complete = true
-	if scan != nil && scan.ambiguous() {
+	if scan != nil && scan.ambiguous() || r.quotes && r.isFollowed() {
 		return nil, ErrAmbiguous
 	}
 	return body, nil
