relay: look at a line of an event once it is whole

A line longer than the reader's buffer is read in pieces, and the last piece was taken for the line: where a line has a multiple of 4,096 bytes that is its line end alone, which counted as the blank line that ends an event. What a crash then cut off was passed on as a whole event.

NextEvent now keeps where the line began, and looks at all of it.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -391,9 +391,6 @@
 	Raw []byte // including the terminating blank line; valid until the next call
 }
 
-// endsLine reports whether what has been read of an event ends with a whole line.
-func (e *Event) endsLine() bool { return len(e.Raw) == 0 || e.Raw[len(e.Raw)-1] == '\n' }
-
 // NextEvent reads one whole event into buffer. io.EOF means that the stream ended as
 // announced, between two events; see ConfirmEnd if it is unframed.
 func (r *Response) NextEvent(buffer []byte) (Event, error) {
@@ -401,30 +398,30 @@
 		r.events = bufio.NewReader(r.body)
 	}
 	e := Event{Raw: buffer[:0]}
+	lineStart := 0 // in e.Raw; a long line is read in several pieces
 	for {
-		line, err := r.events.ReadSlice('\n')
-		if r.Unframed && e.endsLine() && bytes.HasPrefix(line, []byte(protocolPrefix)) {
+		piece, err := r.events.ReadSlice('\n')
+		if r.Unframed && lineStart == len(e.Raw) && bytes.HasPrefix(piece, []byte(protocolPrefix)) {
 			return r.endAtSecondResponse(e)
 		}
-		e.Raw = append(e.Raw, line...)
-		if err == bufio.ErrBufferFull && len(e.Raw) < maxEventBytes {
+		e.Raw = append(e.Raw, piece...)
+		switch {
+		case err == bufio.ErrBufferFull && len(e.Raw) < maxEventBytes:
 			continue
-		}
-		if err == io.EOF && len(e.Raw) == 0 {
+		case err == io.EOF && len(e.Raw) == 0:
 			r.complete = true
 			return e, io.EOF
-		}
-		if err == io.EOF {
+		case err == io.EOF:
 			return e, errors.New("the stream ended within an event")
-		}
-		if err != nil {
+		case err != nil:
 			return e, err
 		}
-		text := strings.TrimRight(string(line), "\r\n")
-		if text == "" {
+		line := strings.TrimRight(string(e.Raw[lineStart:]), "\r\n")
+		lineStart = len(e.Raw)
+		if line == "" {
 			return e, nil
 		}
-		if id, ok := strings.CutPrefix(text, "id:"); ok {
+		if id, ok := strings.CutPrefix(line, "id:"); ok {
 			e.ID = strings.TrimSpace(id)
 		}
 		if len(e.Raw) > maxEventBytes {
--- a/io/relay/second_test.go
+++ b/io/relay/second_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -133,6 +134,30 @@
 	assert.Equal(t, string(e.Raw), event)
 }
 
+// Regression guards: the end of a long line that is read on its own was taken for the blank line
+// that ends an event, so that a part of an event was passed on and joined with the next one; text
+// within a long line was taken for the event's id.
+func TestEventWithLongLinesIsReadWhole(t *testing.T) {
+	for _, length := range []int{4000, 4094, 4095, 4096, 4097, 5000, 8192, 3 * 4096} {
+		t.Run(strconv.Itoa(length), func(t *testing.T) {
+			line := "data: " + strings.Repeat("x", length-len("data: "))
+			if length > 4200 {
+				line = line[:4096] + "id: 9" + line[4096+len("id: 9"):]
+			}
+			event := "id: 1\n" + strings.Repeat(line+"\n", 3) + "\n"
+			cut := "id: 2\n" + line + "\n"
+			response := sendFirst(t, "HTTP/1.1 200 OK\r\nX-Id: first\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n"+event+cut)
+			defer response.Close()
+			e, err := response.NextEvent(nil)
+			assert.NilError(t, err)
+			assert.Equal(t, e.ID, "1")
+			assert.Equal(t, string(e.Raw), event)
+			_, err = response.NextEvent(nil)
+			assert.Assert(t, err != nil && err != io.EOF, "%v", err)
+		})
+	}
+}
+
 // sendFirst sends a request to a target that responds with some bytes.
 func sendFirst(t *testing.T, text string) *Response {
 	sender, cleanup := New(t.Context(), HeaderNames{Request: "X-Id", Stamp: "X-Stamp", NotRun: "X-Not-Run"}, respondOnce(text), time.Now)
