core/broker: take a target for cold after it took no connections

Until its entry told of the start it counted as the process of before, although several hosts had found that it took no connections.

It now counts as cold from the failure that has all hosts back off, until its entry tells of a start, a request from before is answered, or 2.5 s after its next answer, by when a restart would be published.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -167,7 +167,7 @@
 			t = newTarget(now, b.unreached)
 			b.targets[id] = t
 		}
-		t.forgetSilence(published)
+		t.forgetProcess(published)
 		t.published = published
 		b.setNotice(now, t)
 	}
@@ -270,6 +270,9 @@
 	b.recordPath(now, host, r, t, c.Outcome)
 	failures, lost := t.consecutiveFailures, len(t.lostBy) > 0
 	t.recordOutcome(now, host, c, prompt, b.aliveHosts <= 1)
+	if t.published != nil {
+		b.observeRestart(now, t, r.grantedAt, c.Outcome)
+	}
 	b.recordSilence(now, t, host, c, r)
 	b.observeStart(now, host, t, r, c, failures, lost)
 	if t.published != nil {
--- a/core/broker/silence.go
+++ b/core/broker/silence.go
@@ -335,11 +335,11 @@
 	}
 }
 
-// forgetSilence forgets that the former process of a target was silent if another one is
-// published in its place.
-func (t *target) forgetSilence(published *roster.Target) {
+// forgetProcess forgets whether the former process of a target was silent, or has ended, if another
+// one is published in its place.
+func (t *target) forgetProcess(published *roster.Target) {
 	if t.published != nil && t.published.Born != published.Born {
-		t.silence = silence{}
+		t.silence, t.restart = silence{}, restart{}
 	}
 }
 
--- a/core/broker/target.go
+++ b/core/broker/target.go
@@ -68,6 +68,7 @@
 	notice              *notice.State            // what it reported of itself; nil for nothing
 	silence             silence
 	replaced            bool // by another process at its address
+	restart             restart
 	// prefillUntil is the estimated time at which all granted prompts are read;
 	// engines read them one after the other.
 	prefillUntil time.Time
@@ -100,10 +101,10 @@
 	}
 }
 
-// cold reports whether the target is limited to its cold rate, as published or as
-// reported with an answer.
+// cold reports whether the target is limited to its cold rate, as published, as reported
+// with an answer, or since it may have restarted.
 func (t *target) cold(now time.Time) bool {
-	return t.published.Cold(now) || now.Before(t.coldUntil) || t.notice.Cold(now)
+	return t.published.Cold(now) || now.Before(t.coldUntil) || t.notice.Cold(now) || t.restart.mayBeCold(now)
 }
 
 // blockedFor is how much longer a host backs off from the target.
