relay: confirm the end of a response by a connection that lasts

Their end was confirmed by a new connection, but the system takes connections for a process that has ended until it has closed its listener, often the last of all.

That connection must now last for 25 ms. If it ends, another one is tried: a process that has ended refuses it, a server with too many connections takes it. Each response without a length takes 25 ms longer.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -438,7 +438,34 @@
 	if !r.Unframed {
 		return nil
 	}
-	return errors.Wrap(r.sender.CheckConnect(ctx, r.call.Target), "the response ended with its connection, and the target takes no other")
+	return errors.Wrap(r.sender.checkProcess(ctx, r.call.Target), "the response ended with its connection, and the target takes no other")
+}
+
+// endingTime is how long the system may take to close all connections of a process that has ended,
+// and the listener among them, which takes connections until then.
+const endingTime = 25 * time.Millisecond
+
+// checkProcess returns an error if the target's process has ended. A connection that ends at once
+// may be one too many for the target, or ends with its listener; then another one is refused.
+func (s *Sender) checkProcess(ctx context.Context, target netip.AddrPort) error {
+	conn, err := s.pool.Dial(ctx, target)
+	if err != nil {
+		return err
+	}
+	if err := conn.Conn.SetReadDeadline(time.Now().Add(endingTime)); err != nil {
+		conn.Conn.Close()
+		return err
+	}
+	if _, err := conn.Reader.Peek(1); !IsTimeout(err) {
+		conn.Conn.Close()
+		return s.CheckConnect(ctx, target)
+	}
+	if err := conn.Conn.SetReadDeadline(time.Time{}); err != nil {
+		conn.Conn.Close()
+		return err
+	}
+	s.pool.Put(target, conn, defaultIdleTimeout)
+	return nil
 }
 
 // endAtSecondResponse ends a stream at which another response begins. e is what has been read
