--- a/core/parts/verdict.go
+++ b/core/parts/verdict.go
@@ -13,7 +13,7 @@
 // Verdict says whether a request may run, given its shared parts.
 type Verdict struct {
 	Refused    bool
-	RetryAfter time.Duration // of a refused request; 0 if an answer to another request may soon change the verdict
+	RetryAfter time.Duration // of a refused request, until one like it may run
 	// Suspects are parts on account of which a request that is not refused may run only
 	// while no other request with one of them is running.
 	Suspects model.PromptParts
@@ -26,7 +26,7 @@
 // maxNamedCrashes limits the crashes that a verdict names.
 const maxNamedCrashes = 8
 
-// refuse adds a part whose crashes have the request refused for some time.
+// refuse refuses the request for some time, for crashes that some of its parts may have caused.
 func (v *Verdict) refuse(left time.Duration, causes model.PromptParts, crashes []member.CrashID) {
 	v.Refused, v.RetryAfter = true, max(v.RetryAfter, left)
 	for _, p := range causes {
