core/broker: the test of restarts tells a survivor from a restart

The row in which a request was answered meanwhile passed without the clearing: its request was granted at the instant of the failures, and the target was looked at so late that its limit was nearly over. The request is now granted before, and the target is looked at right after the backoff.

--- a/core/broker/restart_test.go
+++ b/core/broker/restart_test.go
@@ -29,6 +29,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := newSimulation(1, routes.Service{Name: "engine", Engine: true, Slots: slots, ColdPerSecond: coldPerSecond})
 			before := s.submit(hostA, Request{})
+			s.advance(10 * time.Millisecond)
 			for _, id := range []uint64{s.submit(hostA, Request{}), s.submit(hostB, Request{})} {
 				host := hostA
 				if s.granted(host, id) == "" {
@@ -39,7 +40,7 @@
 			if c.answered {
 				s.complete(hostA, before, Good, 10*time.Millisecond)
 			}
-			s.advance(maxBackoff)
+			s.advance(2 * minBackoff)
 			if c.born {
 				published := *s.roster.Snapshot().Targets["t0"]
 				published.Born++
