conns: free the recorded head of an idle connection

The bytes of a response's head, which are kept to tell spliced ones, stayed in memory with each idle connection, 4 KB or more. They are freed when the connection goes to the pool.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -210,6 +210,7 @@
 		c.Conn.Close()
 		return
 	}
+	c.limited.recorded = nil // many connections may be idle
 	p.idle[target] = append(p.idle[target], c)
 }
 
