relay, parts: names that say what they hold

isTold is isDecidedByEnd, and its comment tells why the end of a body shows it; the scanner's latest is inStatusLine; the evidence on a part says neverWithOthers and laterAlone for alone and isolated. No behaviour changes; the tests of both packages pass as they were.

--- a/core/parts/verdict.go
+++ b/core/parts/verdict.go
@@ -54,15 +54,14 @@
 	crashes    int
 	successive int               // of them; see successive
 	common     model.PromptParts // of all the crashes
-	// partial explain most of the crashes, so that the others have another cause.
-	partial model.PromptParts
-	alone   bool // no other part is left that explains one of the crashes
-	// isolated is set if the part alone explains a crash after those that have requests run one
-	// at a time.
-	isolated  bool
-	lastParts model.PromptParts // of the latest crash
-	latest    []member.CrashID  // one record of each of the latest crashes
-	lastAt    time.Time         // of the latest crash, also one that some hosts may still report
+	partial    model.PromptParts // of enough of the crashes to explain them if the others had another cause
+	// neverWithOthers is set if no other part is left to explain any of the crashes, laterAlone if
+	// none is left for a crash after those that have requests run one at a time.
+	neverWithOthers bool
+	laterAlone      bool
+	lastParts       model.PromptParts // of the latest crash
+	latest          []member.CrashID  // one record of each of the latest crashes
+	lastAt          time.Time         // of the latest crash, also one that some hosts may still report
 }
 
 // Check returns the verdict on a request.
@@ -130,8 +129,8 @@
 		return e
 	}
 	isAlone := func(x *crashEvent) bool { return len(x.lastSentAt) == 1 }
-	e.isolated = slices.ContainsFunc(events[refusalThreshold:], isAlone)
-	e.alone = !slices.ContainsFunc(events, func(x *crashEvent) bool { return !isAlone(x) })
+	e.laterAlone = slices.ContainsFunc(events[refusalThreshold:], isAlone)
+	e.neverWithOthers = !slices.ContainsFunc(events, func(x *crashEvent) bool { return !isAlone(x) })
 	last := events[len(events)-1]
 	for i := len(events) - 1; i >= 0 && len(e.latest) < maxNamedCrashes; i-- {
 		e.latest = append(e.latest, events[i].runs[0].id)
@@ -168,7 +167,7 @@
 	if len(e.common) != 1 {
 		return false
 	}
-	return e.isolated || len(e.partial) == 0 && (e.alone || e.successive >= freeProbes)
+	return e.laterAlone || len(e.partial) == 0 && (e.neverWithOthers || e.successive >= freeProbes)
 }
 
 // probeAt returns when a request with a part that is not refused may run in spite of its crashes.
@@ -197,7 +196,7 @@
 // crash is left for the request that runs after the refusal.
 func (r *Records) refusedProbeAt(now time.Time, p model.PromptPart, parts model.PromptParts) time.Time {
 	e := r.evidenceOn(now, p)
-	differs := !e.alone && !e.isolated && !containsAll(parts, e.lastParts)
+	differs := !e.neverWithOthers && !e.laterAlone && !containsAll(parts, e.lastParts)
 	if e.successive < refusalThreshold || e.crashes >= maxProbes-1 || !differs && containsAll(parts, e.partial) {
 		return r.refusals[p].until
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -166,7 +166,7 @@
 	events     *bufio.Reader
 	buffered   int64 // bytes of the body in memory
 	complete   bool  // the body has been read to its end
-	quotes     bool  // see isTold
+	awaitsEnd  bool  // see isDecidedByEnd
 }
 
 // Send sends a call and reads the header of the response.
@@ -261,10 +261,10 @@
 		}
 		r.conn.ClearReadLimit()
 		if isSpliced(head, r.sender.names) {
-			if !r.isTold(head, resp) {
+			if !r.isDecidedByEnd(head, resp) {
 				return errors.New("the response begins with a piece of another one")
 			}
-			r.quotes = true
+			r.awaitsEnd = true
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -329,7 +329,7 @@
 		return nil, errors.Errorf("over %d bytes", maxBodyBytes)
 	}
 	r.complete = true
-	if scan != nil && scan.ambiguous() || r.quotes && r.isFollowed() {
+	if scan != nil && scan.ambiguous() || r.awaitsEnd && r.isFollowed() {
 		return nil, ErrAmbiguous
 	}
 	return body, nil
--- a/io/relay/scan.go
+++ b/io/relay/scan.go
@@ -37,17 +37,17 @@
 
 	matched int // bytes of statusPattern
 	code    int // status code as far as it was read
-	// begun holds the heads whose status line is the current line; of the latest one the
-	// reason phrase may be one that targets use.
-	begun      headKinds
-	latest     bool
-	latestCode int
-	phrase     []byte // of the latest
-	afterCR    bool   // in a status line
-
-	open   [kindCount]openHead
-	isOpen bool // any of them
-	line   linePart
+	// The current line may be the status line of several heads. begun holds the earlier ones, whose
+	// reason phrases contain the next one's status line; latestCode and phrase are of the latest.
+	inStatusLine bool
+	begun        headKinds
+	latestCode   int
+	phrase       []byte // reason phrase, as far as it was read
+	afterCR      bool
+
+	open   [kindCount]openHead // heads whose status line was read
+	isOpen bool                // any of them
+	line   linePart            // of their fields
 	id     nameMatcher
 	stamp  nameMatcher
 }
@@ -79,8 +79,8 @@
 // nameMatcher compares the name of a field with a known one, byte by byte.
 type nameMatcher struct {
 	name    string
-	matched int // differs if the names differ
-	current bool
+	matched int  // bytes; differs if the names differ
+	current bool // the field that is being read has the name
 }
 
 // differs is the state of a nameMatcher whose names differ.
@@ -115,7 +115,7 @@
 // Write implements io.Writer; it takes the next piece of the body.
 func (s *scanner) Write(piece []byte) (int, error) {
 	for rest := piece; len(rest) > 0 && !s.found; rest = rest[1:] {
-		if s.matched == 0 && !s.isOpen && !s.latest {
+		if s.matched == 0 && !s.isOpen && !s.inStatusLine {
 			next := bytes.IndexByte(rest, statusPattern[0])
 			if next < 0 {
 				s.steps += len(rest)
@@ -141,14 +141,14 @@
 			return true
 		}
 	}
-	return s.latest && (s.afterCR && s.isCommonReason() || !s.afterCR && s.mayBecomeCommonReason())
+	return s.inStatusLine && (s.afterCR && s.isCommonReason() || !s.afterCR && s.mayBecomeCommonReason())
 }
 
 func (s *scanner) add(b byte) {
 	if s.isOpen {
 		s.addToFields(b)
 	}
-	if s.latest {
+	if s.inStatusLine {
 		s.addToStatusLine(b)
 	}
 	s.addToStart(b)
@@ -191,10 +191,10 @@
 
 // begin takes the beginning of a status line.
 func (s *scanner) begin(afterCR bool) {
-	if s.latest { // its reason phrase goes on with another status line
+	if s.inStatusLine { // its reason phrase goes on with another status line
 		s.begun[kindOf(s.latestCode)|kindUncommon] = true
 	}
-	s.latest, s.latestCode, s.phrase, s.afterCR = true, s.code, s.phrase[:0], afterCR
+	s.inStatusLine, s.latestCode, s.phrase, s.afterCR = true, s.code, s.phrase[:0], afterCR
 }
 
 func kindOf(status int) int {
@@ -221,7 +221,7 @@
 	}
 }
 
-func (s *scanner) dropStatusLines() { s.latest, s.afterCR, s.begun = false, false, headKinds{} }
+func (s *scanner) dropStatusLines() { s.inStatusLine, s.afterCR, s.begun = false, false, headKinds{} }
 
 // openHeads takes the heads whose status line has ended. An open head of the same kind has more
 // fields, and ends with the same line.
--- a/io/relay/splice.go
+++ b/io/relay/splice.go
@@ -17,7 +17,7 @@
 
 // isSpliced reports whether a response's first line may stand within its head, after a piece of
 // another response that may end anywhere in a line: all that a target's head has follows there.
-// A field that quotes a status line looks the same if the id comes after it; see isTold.
+// A field that quotes a status line looks the same if the id comes after it; see isDecidedByEnd.
 func isSpliced(head []byte, names HeaderNames) bool {
 	rest := head[min(1, len(head)):]
 	for _, m := range statusLine.FindAllSubmatch(rest, -1) {
@@ -33,10 +33,11 @@
 	return scan.found
 }
 
-// isTold reports whether the end of a body tells if the head quotes a status line or is spliced. In
-// either case its status is that of the response, and its id and stamp are single. If the length
-// is not the response's own, that has none and ends with its connection: more bytes follow.
-func (r *Response) isTold(head []byte, resp *http.Response) bool {
+// isDecidedByEnd reports whether the end of the body shows if the head quotes a status line or is
+// spliced. Its status is right in either case, and so are its id and stamp, since there is one of
+// each. Only the length may be that of a piece before: then the response has none of its own, and
+// goes on to the end of its connection.
+func (r *Response) isDecidedByEnd(head []byte, resp *http.Response) bool {
 	for _, m := range statusLine.FindAllSubmatch(head, -1) {
 		if string(m[1]) != strconv.Itoa(resp.StatusCode) {
 			return false
