--- a/core/parts/model_test.go
+++ b/core/parts/model_test.go
@@ -13,7 +13,7 @@
 	"yuccadoor/core/model"
 )
 
-// The rules that the model checks, of the platform's pages.
+// Limits of the platform that the model checks.
 const (
 	detectCrashes = 5 // crashes after which a part is to be known
 	detectTime    = 3 * time.Second
